--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,58 @@
+// Package event is the catalogue of numbered log events.
+//
+// Every log line of a daemon is one event with a number that never changes.
+// docs/EVENTS.md is generated from this catalogue.
+//
+// # Usage
+//
+//	log.Info(event.DaemonStarted, zap.String("daemon", string(id)))
+package event
+
+import (
+	"fmt"
+	"sort"
+
+	"go.uber.org/zap"
+)
+
+// Event numbers a kind of log line.
+type Event int
+
+// entry describes one event for the catalogue.
+type entry struct {
+	name string
+	text string
+}
+
+// catalogue is filled by the event lists in this package.
+var catalogue = map[Event]entry{}
+
+// define adds an event to the catalogue. A number used twice is a programming
+// error that every test run shows.
+func define(number int, name, text string) Event {
+	e := Event(number)
+	if old, ok := catalogue[e]; ok {
+		panic(fmt.Sprintf("event %d is defined as %s and as %s", number, old.name, name))
+	}
+	catalogue[e] = entry{name: name, text: text}
+	return e
+}
+
+// Name returns the event's one-word name.
+func (e Event) Name() string { return catalogue[e].name }
+
+// Text returns the event's description for operators.
+func (e Event) Text() string { return catalogue[e].text }
+
+// Field returns the log field with the event's number.
+func (e Event) Field() zap.Field { return zap.Int("event", int(e)) }
+
+// All returns every event in order of number.
+func All() []Event {
+	all := make([]Event, 0, len(catalogue))
+	for e := range catalogue {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all
+}
--- /dev/null
+++ b/internal/ids/ids.go
@@ -0,0 +1,58 @@
+// Package ids names the identifiers that daemons, operators and records use.
+//
+// Each kind of identifier is a type of its own, so that a target can't be passed
+// where an account is expected.
+//
+// # Usage
+//
+//	team := ids.Team("andrade")
+//	svc := ids.ServiceOf(team, "payments") // "andrade/payments"
+package ids
+
+import "strings"
+
+type (
+	// Daemon identifies one daemon, which runs on one VM.
+	Daemon string
+	// Incarnation numbers the starts of a daemon; a restarted one has a higher number.
+	Incarnation uint64
+	// Target identifies one backend server behind a gatekeeper.
+	Target string
+	// Service identifies a service as team/name.
+	Service string
+	// Route identifies a route as team/name.
+	Route string
+	// Account identifies a client account as team/name.
+	Account string
+	// Team identifies the owner of a subtree of the settings.
+	Team string
+	// Centre identifies a data centre.
+	Centre string
+	// Region identifies a group of data centres.
+	Region string
+	// Edit identifies one operator's edit; a repeated append carries the same Edit.
+	Edit string
+	// Hash is the hex SHA-256 of a client account's key or of a team's credential.
+	Hash string
+	// Path names one section of the settings, as in "teams/andrade/services/payments".
+	Path string
+	// Offset is a position in one stream of the platform's log. The first record is at 1.
+	Offset uint64
+	// Address is an IP number with a port.
+	Address string
+)
+
+// ServiceOf returns the identifier of a team's service.
+func ServiceOf(t Team, name string) Service { return Service(string(t) + "/" + name) }
+
+// RouteOf returns the identifier of a team's route.
+func RouteOf(t Team, name string) Route { return Route(string(t) + "/" + name) }
+
+// AccountOf returns the identifier of a team's client account.
+func AccountOf(t Team, name string) Account { return Account(string(t) + "/" + name) }
+
+// TeamOf returns the team that owns a service, route or account identifier.
+func TeamOf[T ~string](id T) Team {
+	team, _, _ := strings.Cut(string(id), "/")
+	return Team(team)
+}
--- /dev/null
+++ b/internal/settings/kind.go
@@ -0,0 +1,65 @@
+package settings
+
+import (
+	"strings"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// Kind names the kinds of sections of the shared settings.
+type Kind string
+
+// The kinds, as they stand in paths.
+const (
+	KindTeam    Kind = "teams"
+	KindService Kind = "services"
+	KindRoute   Kind = "routes"
+	KindAccount Kind = "accounts"
+	KindKey     Kind = "keys"
+	KindNone    Kind = ""
+)
+
+// KindOf returns the kind of section that stands at the path, or KindNone.
+func KindOf(path ids.Path) Kind {
+	parts := strings.Split(string(path), "/")
+	for _, p := range parts {
+		if p == "" {
+			return KindNone
+		}
+	}
+	if parts[0] != string(KindTeam) {
+		return KindNone
+	}
+	switch len(parts) {
+	case 2:
+		return KindTeam
+	case 4:
+		switch k := Kind(parts[2]); k {
+		case KindService, KindRoute, KindAccount, KindKey:
+			return k
+		}
+	}
+	return KindNone
+}
+
+// TeamOf returns the team whose subtree holds the path.
+func TeamOf(path ids.Path) ids.Team {
+	parts := strings.Split(string(path), "/")
+	if len(parts) < 2 {
+		return ""
+	}
+	return ids.Team(parts[1])
+}
+
+// NameOf returns the last part of the path.
+func NameOf(path ids.Path) string {
+	return string(path[strings.LastIndex(string(path), "/")+1:])
+}
+
+// PathOf returns the path of a team's section.
+func PathOf(team ids.Team, kind Kind, name string) ids.Path {
+	if kind == KindTeam {
+		return ids.Path("teams/" + string(team))
+	}
+	return ids.Path("teams/" + string(team) + "/" + string(kind) + "/" + name)
+}
--- /dev/null
+++ b/internal/settings/platform.go
@@ -0,0 +1,26 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+)
+
+// Platform is the section [platform] of balsamd.ini.
+type Platform struct {
+	Log     string        `ini:"log" default:"" unit:"URL" doc:"The platform's append-only log service."`
+	Timeout time.Duration `ini:"timeout" default:"1s" unit:"duration" doc:"Time for one call to the log service."`
+}
+
+// Check returns what is wrong with the values, or nil.
+func (p Platform) Check() error {
+	u, err := url.Parse(p.Log)
+	if err != nil || u.Scheme == "" || u.Host == "" {
+		return fmt.Errorf("log is %q, but must be a URL", p.Log)
+	}
+	if p.Timeout <= 0 {
+		return errors.New("timeout must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/units/units.go
@@ -0,0 +1,44 @@
+// Package units names the quantities that the daemon computes with.
+//
+// # Usage
+//
+//	var now units.Instant = clock.Now()
+//	if now.Sub(asked) > 2*time.Second { ... }
+package units
+
+import "time"
+
+type (
+	// Instant is a reading of a daemon's own monotonic clock, in nanoseconds since
+	// the clock was started. Instants of two daemons can't be compared.
+	Instant int64
+	// Tokens counts requests of a client account's bucket, in thousandths of a request.
+	Tokens int64
+	// Rate is a number of requests per second.
+	Rate float64
+	// Slots is a number of requests that a target works on at once.
+	Slots int
+	// Weight is a client account's share relative to others.
+	Weight int
+	// Bytes is an amount of data.
+	Bytes int64
+	// Percent is a share from 0 to 100.
+	Percent float64
+)
+
+// Token is one request's worth of tokens.
+const Token Tokens = 1000
+
+// Sub returns the time from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
+
+// Add returns the instant d after t.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Before reports whether t is earlier than u.
+func (t Instant) Before(u Instant) bool { return t < u }
+
+// Over returns the tokens that the rate yields in d.
+func (r Rate) Over(d time.Duration) Tokens {
+	return Tokens(float64(r) * d.Seconds() * float64(Token))
+}
--- /dev/null
+++ b/pkg/kernel/kernel.go
@@ -0,0 +1,183 @@
+// Package kernel starts services in order of need, finds them by name and stops
+// them in reverse order.
+//
+// # Usage
+//
+//	var k kernel.Kernel
+//	k.Add(&timer.Timer{})
+//	k.Add(&tail.Tail{})
+//	if err := k.Start(ctx); err != nil {
+//		return err
+//	}
+//	defer k.Stop(5 * time.Second)
+//	t, err := kernel.Find[*timer.Timer](&k, "timer")
+//
+// The zero Kernel is ready for use. A missing need, a cycle or a name that is
+// used twice is an error of Start, before any service runs.
+package kernel
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Kernel holds the services of one daemon.
+type Kernel struct {
+	mu      sync.RWMutex
+	added   []service.Service
+	byName  map[service.Name]service.Service
+	twice   []service.Name
+	running []service.Service
+	cancel  context.CancelFunc
+}
+
+// Add registers a service. It must not be called after Start.
+func (k *Kernel) Add(s service.Service) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.byName == nil {
+		k.byName = map[service.Name]service.Service{}
+	}
+	if _, ok := k.byName[s.Name()]; ok {
+		k.twice = append(k.twice, s.Name())
+		return
+	}
+	k.byName[s.Name()] = s
+	k.added = append(k.added, s)
+}
+
+// Lookup returns the service with the given name.
+func (k *Kernel) Lookup(name service.Name) (service.Service, error) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	s, ok := k.byName[name]
+	if !ok {
+		return nil, errorx.IllegalArgument.New("kernel has no service %q", name)
+	}
+	return s, nil
+}
+
+// Find returns the service with the given name as a T.
+func Find[T any](f service.Finder, name service.Name) (T, error) {
+	var none T
+	s, err := f.Lookup(name)
+	if err != nil {
+		return none, err
+	}
+	t, ok := s.(T)
+	if !ok {
+		return none, errorx.IllegalArgument.New("service %q is a %T, not a %T", name, s, &none)
+	}
+	return t, nil
+}
+
+// Start starts every service after the services that it needs. When one fails,
+// those that already run are stopped again.
+func (k *Kernel) Start(ctx context.Context) error {
+	order, err := k.order()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	k.cancel = cancel
+	for _, s := range order {
+		if err := s.Start(ctx, k); err != nil {
+			stopErr := k.Stop(startFailureStopTimeout)
+			return errors.Join(errorx.Decorate(err, "start service %q", s.Name()), stopErr)
+		}
+		k.running = append(k.running, s)
+	}
+	return nil
+}
+
+const startFailureStopTimeout = 2 * time.Second
+
+// Stop stops the running services in reverse order and gives each at most the
+// given time. It returns the errors of all services that failed to stop.
+func (k *Kernel) Stop(each time.Duration) error {
+	var errs []error
+	for i := len(k.running) - 1; i >= 0; i-- {
+		s := k.running[i]
+		if err := stopOne(s, each); err != nil {
+			errs = append(errs, errorx.Decorate(err, "stop service %q", s.Name()))
+		}
+	}
+	k.running = nil
+	if k.cancel != nil {
+		k.cancel()
+	}
+	return errors.Join(errs...)
+}
+
+func stopOne(s service.Service, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- s.Stop(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// order sorts the services so that each comes after its needs.
+func (k *Kernel) order() ([]service.Service, error) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	if len(k.twice) > 0 {
+		return nil, errorx.IllegalState.New("service name %q is used twice", k.twice[0])
+	}
+	var order []service.Service
+	placed := map[service.Name]bool{}
+	for len(order) < len(k.added) {
+		before := len(order)
+		for _, s := range k.added {
+			if placed[s.Name()] || !k.ready(s, placed) {
+				continue
+			}
+			placed[s.Name()] = true
+			order = append(order, s)
+		}
+		if len(order) == before {
+			return nil, k.blocked(placed)
+		}
+	}
+	return order, nil
+}
+
+func (k *Kernel) ready(s service.Service, placed map[service.Name]bool) bool {
+	for _, n := range s.Needs() {
+		if !placed[n] {
+			return false
+		}
+	}
+	return true
+}
+
+// blocked explains why the services that are not placed cannot start.
+func (k *Kernel) blocked(placed map[service.Name]bool) error {
+	var cycle []string
+	for _, s := range k.added {
+		if placed[s.Name()] {
+			continue
+		}
+		for _, n := range s.Needs() {
+			if _, ok := k.byName[n]; !ok {
+				return errorx.IllegalState.New("service %q needs %q, which the kernel does not have", s.Name(), n)
+			}
+		}
+		cycle = append(cycle, string(s.Name()))
+	}
+	sort.Strings(cycle)
+	return errorx.IllegalState.New("services need each other in a cycle: %s", strings.Join(cycle, ", "))
+}
