Serve a request from end to end through two daemons

Caller, entry, QUIC with mutual TLS, gatekeeper, backend server. Settings come from the log stand-in. Checked by the end-to-end tests in internal/fleet: a 64 MiB body both ways, refusals, encoded slashes, a header over the limit.

--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,153 @@
+// Package accept serves the connections that other daemons open.
+//
+// # Usage
+//
+//	k.Add(&accept.Accept{Common: c, Certs: certs})
+//
+// One task serves each peer and one each stream. A peer is known by the name in
+// its certificate.
+package accept
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/certs"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/dispatch"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/wire"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	idleTimeout = 30 * time.Second
+	maxStreams  = 4096
+)
+
+// Accept listens for other daemons.
+type Accept struct {
+	Common *common.Common
+	Certs  *certs.Certs
+	// Socket is used instead of opening one at the settings' address.
+	Socket net.PacketConn
+
+	dispatch *dispatch.Dispatch
+	listener *quic.Listener
+	streams  sync.WaitGroup
+}
+
+// Name implements service.Service.
+func (a *Accept) Name() service.Name { return "accept" }
+
+// Needs implements service.Service.
+func (a *Accept) Needs() []service.Name { return []service.Name{"dispatch"} }
+
+// Start implements service.Service.
+func (a *Accept) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if a.dispatch, err = kernel.Find[*dispatch.Dispatch](f, "dispatch"); err != nil {
+		return err
+	}
+	if a.Socket == nil {
+		if a.Socket, err = net.ListenPacket("udp", string(a.Common.Settings.Listen.Peers)); err != nil {
+			return errorx.Decorate(err, "listen for peers")
+		}
+	}
+	config := &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams}
+	if a.listener, err = quic.Listen(a.Socket, a.Certs.Server(), config); err != nil {
+		return errorx.Decorate(err, "listen for peers")
+	}
+	go a.accept(ctx)
+	return nil
+}
+
+// Stop waits for the streams in progress and closes the listener.
+func (a *Accept) Stop(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		a.streams.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	err := a.listener.Close()
+	return errors.Join(err, a.Socket.Close())
+}
+
+// accept starts a task for each peer that connects.
+func (a *Accept) accept(ctx context.Context) {
+	for {
+		conn, err := a.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		go a.serve(ctx, conn)
+	}
+}
+
+// serve is the task of one peer.
+func (a *Accept) serve(ctx context.Context, conn *quic.Conn) {
+	from, err := certs.NameOf(conn.ConnectionState().TLS)
+	if err != nil {
+		a.Common.Warn(event.PeerRefused, zap.Error(err))
+		_ = conn.CloseWithError(0, "certificate has no name")
+		return
+	}
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		a.streams.Add(1)
+		go a.exchange(ctx, from, stream)
+	}
+}
+
+// exchange is the task of one stream: a message, its reply and their bodies.
+func (a *Accept) exchange(ctx context.Context, from ids.Daemon, stream *quic.Stream) {
+	defer a.streams.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(stream.Context(), cancel)
+	defer stop()
+	m, err := wire.Read(stream)
+	if err != nil {
+		stream.CancelRead(0)
+		stream.CancelWrite(0)
+		return
+	}
+	switch m := m.(type) {
+	case message.Request:
+		a.request(ctx, m, stream)
+	default:
+		a.control(ctx, from, m, stream)
+	}
+	stream.CancelRead(0)
+}
+
+// control answers a message that has no body.
+func (a *Accept) control(ctx context.Context, from ids.Daemon, m message.Message, stream *quic.Stream) {
+	reply, err := a.dispatch.Control(ctx, from, m)
+	if err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	if err := wire.Write(stream, reply); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	_ = stream.Close()
+}
--- /dev/null
+++ b/internal/accept/request.go
@@ -0,0 +1,56 @@
+package accept
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/quic-go/quic-go"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/wire"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// request runs a request whose body follows on the stream and sends the answer.
+// The stream is reset when the answer is cut, so that the other side sees it.
+func (a *Accept) request(ctx context.Context, m message.Request, stream *quic.Stream) {
+	answer, err := a.dispatch.Request(ctx, m.Head, stream)
+	if err != nil {
+		refuse(stream, answer, err)
+		return
+	}
+	defer answer.Body.Close()
+	reply := message.Reply{Status: answer.Status, Header: answer.Header, Length: int64(answer.Length), Load: answer.Load}
+	if err := wire.Write(stream, reply); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	if _, err := io.Copy(stream, answer.Body); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	_ = stream.Close()
+}
+
+func refuse(stream *quic.Stream, answer *call.Answer, err error) {
+	r := refusalOf(err)
+	if answer != nil {
+		r.Load = answer.Load
+	}
+	if err := wire.Write(stream, r); err != nil {
+		stream.CancelWrite(0)
+		return
+	}
+	_ = stream.Close()
+}
+
+func refusalOf(err error) message.Refusal {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return message.Refusal{Verdict: verdict.Maybe, Status: http.StatusBadGateway, Reason: "the request failed"}
+	}
+	return message.Refusal{Verdict: e.Verdict, Status: e.Status, Reason: e.Reason, After: e.RetryAfter}
+}
--- /dev/null
+++ b/internal/app/view.go
@@ -0,0 +1,40 @@
+package app
+
+import (
+	"context"
+
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+)
+
+// View calls read with the shared settings that the daemon has applied.
+func (a *App) View(read func(*replay.State)) {
+	if t, err := kernel.Find[*tail.Tail](&a.kernel, "tail"); err == nil {
+		t.View(read)
+	}
+}
+
+// WaitFor returns once the daemon has applied the record at the offset.
+func (a *App) WaitFor(ctx context.Context, at ids.Offset) error {
+	t, err := kernel.Find[*tail.Tail](&a.kernel, "tail")
+	if err != nil {
+		return err
+	}
+	return t.Wait(ctx, at)
+}
+
+// Targets returns how many targets of the service this daemon can choose from.
+func (a *App) Targets(id ids.Service) int {
+	d, err := kernel.Find[*directory.Directory](&a.kernel, "directory")
+	if err != nil {
+		return 0
+	}
+	return len(d.Targets(id))
+}
+
+// Invariant returns the counts of the daemon's assertions.
+func (a *App) Invariant() *invariant.Invariant { return a.common.Invariant }
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,235 @@
+// Package backend speaks HTTP/1.1 to a backend server over one connection that
+// never resends a request.
+//
+// # Usage
+//
+//	conn, err := backend.Dial(ctx, "127.0.0.1:9001")
+//	answer, sent, err := conn.Exchange(ctx, request)
+//	if err != nil && !sent {
+//		// The backend server has not seen a byte of the request.
+//	}
+//
+// net/http's own Transport repeats requests on a reused connection when it takes
+// them for idempotent, so this package uses its message reader and writer only.
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// maxHeaderBytes bounds the header of an answer.
+const maxHeaderBytes = 1 << 20
+
+// ErrClosed means that the connection ended before a request began on it.
+var ErrClosed = errorx.ExternalError.New("the backend server closed the connection")
+
+// Conn is one connection to a backend server. One exchange runs on it at a time.
+type Conn struct {
+	net     net.Conn
+	reader  *bufio.Reader
+	limited *io.LimitedReader
+	closed  chan struct{}
+
+	mu       sync.Mutex
+	exchange *exchange
+}
+
+// exchange is one request and its answer.
+type exchange struct {
+	request *http.Request
+	answers chan result
+	// over is closed when the answer's body was read or given up.
+	over chan struct{}
+	once sync.Once
+	// reuse is set before over is closed when the connection can serve again.
+	reuse bool
+	sent  atomic.Bool
+	wrote chan error
+}
+
+type result struct {
+	answer *http.Response
+	err    error
+}
+
+// Dial connects to a backend server.
+func Dial(ctx context.Context, addr ids.Address) (*Conn, error) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
+	}
+	limited := &io.LimitedReader{R: c, N: maxHeaderBytes}
+	conn := &Conn{net: c, limited: limited, reader: bufio.NewReader(limited), closed: make(chan struct{})}
+	go conn.run()
+	return conn, nil
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.net.Close() }
+
+// Closed reports whether the connection has ended.
+func (c *Conn) Closed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// run is the task of the connection: it waits for the first byte of each answer,
+// and notices at once when the backend server closes an idle connection.
+func (c *Conn) run() {
+	defer close(c.closed)
+	defer c.net.Close()
+	for {
+		c.limited.N = maxHeaderBytes
+		_, err := c.reader.Peek(1)
+		x := c.current()
+		if x == nil {
+			return
+		}
+		if err != nil {
+			x.answers <- result{err: errorx.Decorate(err, "wait for answer")}
+			return
+		}
+		answer, err := c.readAnswer(x.request)
+		x.answers <- result{answer: answer, err: err}
+		if err != nil {
+			return
+		}
+		<-x.over
+		if !x.reuse {
+			return
+		}
+	}
+}
+
+// readAnswer reads the head of the final answer and passes over interim ones.
+func (c *Conn) readAnswer(req *http.Request) (*http.Response, error) {
+	for {
+		answer, err := http.ReadResponse(c.reader, req)
+		if err != nil {
+			return nil, errorx.Decorate(err, "read answer")
+		}
+		if answer.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errorx.IllegalFormat.New("backend server switched protocols unasked")
+		}
+		if answer.StatusCode >= http.StatusOK {
+			c.limited.N = 1<<63 - 1
+			return answer, nil
+		}
+	}
+}
+
+func (c *Conn) current() *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange
+}
+
+func (c *Conn) begin(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Closed() || c.exchange != nil {
+		return false
+	}
+	c.exchange = x
+	return true
+}
+
+// end gives the connection back to its task. Only the first call counts.
+func (c *Conn) end(x *exchange, reuse bool) {
+	x.once.Do(func() {
+		c.mu.Lock()
+		c.exchange = nil
+		c.mu.Unlock()
+		x.reuse = reuse
+		close(x.over)
+		if !reuse {
+			_ = c.net.Close()
+		}
+	})
+}
+
+// Exchange sends a request and returns the answer. It reports whether a byte of
+// the request may have reached the backend server. The caller must close the
+// answer's body; the connection can be used again when Reusable says so.
+func (c *Conn) Exchange(ctx context.Context, req *http.Request) (*http.Response, bool, error) {
+	x := &exchange{request: req, answers: make(chan result, 1), over: make(chan struct{}), wrote: make(chan error, 1)}
+	if !c.begin(x) {
+		return nil, false, ErrClosed
+	}
+	go c.write(x)
+	var r result
+	select {
+	case r = <-x.answers:
+	case <-c.closed:
+		r = c.last(x)
+	case <-ctx.Done():
+		c.end(x, false)
+		return nil, x.sent.Load(), ctx.Err()
+	}
+	if r.err != nil {
+		c.end(x, false)
+		return nil, x.sent.Load(), r.err
+	}
+	r.answer.Body = &body{conn: c, exchange: x, body: r.answer.Body, stop: context.AfterFunc(ctx, func() { c.end(x, false) })}
+	return r.answer, true, nil
+}
+
+// last returns the answer that came just before the connection closed, if any.
+func (c *Conn) last(x *exchange) result {
+	select {
+	case r := <-x.answers:
+		return r
+	default:
+		return result{err: ErrClosed}
+	}
+}
+
+// write sends the request while the task reads the answer, because a backend
+// server may answer before it has read the whole body.
+func (c *Conn) write(x *exchange) {
+	w := &sentWriter{conn: c.net, sent: &x.sent}
+	buffered := bufio.NewWriter(w)
+	err := x.request.Write(buffered)
+	if err == nil {
+		err = buffered.Flush()
+	}
+	x.wrote <- err
+	if err != nil {
+		c.end(x, false)
+	}
+}
+
+// sentWriter notes that bytes may have left before they do.
+type sentWriter struct {
+	conn net.Conn
+	sent *atomic.Bool
+}
+
+// Write implements io.Writer.
+func (w *sentWriter) Write(p []byte) (int, error) {
+	w.sent.Store(true)
+	return w.conn.Write(p)
+}
+
+// Free reports whether the connection is open and no exchange runs on it.
+func (c *Conn) Free() bool {
+	if c.Closed() {
+		return false
+	}
+	return c.current() == nil
+}
--- /dev/null
+++ b/internal/balsamd/balsamd.go
@@ -0,0 +1,102 @@
+// Package balsamd is the daemon's command line.
+//
+// # Usage
+//
+//	os.Exit(balsamd.Main(os.Args[1:], os.Stdout, os.Stderr))
+package balsamd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/app"
+	"balsamwharf.example/balsamwharf/internal/certs"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// Exit codes of balsamd.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// options is the command line.
+type options struct {
+	Config string `short:"c" long:"config" required:"yes" value-name:"FILE" description:"Settings of this daemon (INI)"`
+	Check  bool   `long:"check" description:"Check the settings and exit"`
+}
+
+// Main runs the daemon and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		var flagErr *flags.Error
+		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+			fmt.Fprintln(stdout, err)
+			return exitOK
+		}
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	set, err := load(o.Config)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Fprintf(stdout, "%s is valid\n", o.Config)
+		return exitOK
+	}
+	if err := run(set); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func load(file string) (settings.Daemon, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Daemon{}, errorx.Decorate(err, "read settings")
+	}
+	return settings.Load(file, text)
+}
+
+// run serves until the process is told to stop.
+func run(set settings.Daemon) error {
+	identity, err := certs.Load(set.Trust)
+	if err != nil {
+		return err
+	}
+	logger, err := newLogger(set.Logging)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	log := &platformlog.Client{Base: set.Platform.Log}
+	a := &app.App{Settings: set, Certs: identity, Log: log, Logger: logger}
+	return a.Run(ctx)
+}
+
+func newLogger(l settings.Logging) (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(l.Level)
+	if err != nil {
+		return nil, errorx.Decorate(err, "log level")
+	}
+	config := zap.NewProductionConfig()
+	config.Level = level
+	config.DisableStacktrace = true
+	return config.Build()
+}
--- /dev/null
+++ b/internal/dial/send.go
@@ -0,0 +1,109 @@
+package dial
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/internal/wire"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// Send hands a request to the gatekeeper on another daemon and returns its
+// answer. Errors carry a verdict.
+func (d *Dial) Send(ctx context.Context, to ids.Daemon, head call.Head, body io.Reader) (*call.Answer, error) {
+	stream, err := d.open(ctx, to)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.Unrun, http.StatusServiceUnavailable, "the daemon of the backend server can't be reached", err)
+	}
+	stop := context.AfterFunc(ctx, func() { abort(stream) })
+	if err := wire.Write(stream, message.Request{Head: head}); err != nil {
+		stop()
+		abort(stream)
+		return nil, lost(ctx, err)
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		sendBody(stream, body)
+	}()
+	reply, err := wire.Read(stream)
+	if err != nil {
+		stop()
+		abort(stream)
+		<-sent
+		return nil, lost(ctx, err)
+	}
+	switch m := reply.(type) {
+	case message.Reply:
+		return answerOf(m, &answerBody{stream: stream, sent: sent, stop: stop}), nil
+	case message.Refusal:
+		stop()
+		abort(stream)
+		<-sent
+		return &call.Answer{Load: m.Load}, refusalOf(m)
+	default:
+		stop()
+		abort(stream)
+		<-sent
+		return nil, verdict.New(verdict.Maybe, http.StatusBadGateway, "the daemon of the backend server sent no answer")
+	}
+}
+
+// sendBody copies the request's body; the stream's end marks that it is whole.
+func sendBody(stream *quic.Stream, body io.Reader) {
+	if body != nil {
+		if _, err := io.Copy(stream, body); err != nil {
+			stream.CancelWrite(0)
+			return
+		}
+	}
+	_ = stream.Close()
+}
+
+// lost is the error of a request whose hop failed after it began.
+func lost(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Wrap(verdict.Maybe, http.StatusGatewayTimeout, "no answer within the deadline", err)
+	}
+	return verdict.Wrap(verdict.Maybe, http.StatusBadGateway, "the daemon of the backend server was lost", err)
+}
+
+func refusalOf(m message.Refusal) error {
+	return &verdict.Error{Verdict: m.Verdict, Status: m.Status, Reason: m.Reason, RetryAfter: m.After}
+}
+
+func answerOf(m message.Reply, body io.ReadCloser) *call.Answer {
+	return &call.Answer{Status: m.Status, Header: m.Header, Length: units.Bytes(m.Length), Load: m.Load, Body: body}
+}
+
+// answerBody reads an answer's body from the stream. A cut answer is an error,
+// because the gatekeeper resets the stream then.
+type answerBody struct {
+	stream *quic.Stream
+	sent   chan struct{}
+	stop   func() bool
+	closed atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) { return b.stream.Read(p) }
+
+// Close ends the exchange and waits until the request's body is no longer read.
+func (b *answerBody) Close() error {
+	if b.closed.Swap(true) {
+		return nil
+	}
+	b.stop()
+	abort(b.stream)
+	<-b.sent
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,68 @@
+// Package dispatch hands each message from another daemon to the service that
+// answers it.
+//
+// # Usage
+//
+//	reply, err := d.Control(ctx, from, m)
+//	answer, err := d.Request(ctx, head, body)
+package dispatch
+
+import (
+	"context"
+	"io"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/gatekeeper"
+	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Dispatch finds the answering service by the type of a message.
+type Dispatch struct {
+	Common *common.Common
+
+	gatekeeper *gatekeeper.Gatekeeper
+	gossip     *gossip.Gossip
+}
+
+// Name implements service.Service.
+func (d *Dispatch) Name() service.Name { return "dispatch" }
+
+// Needs implements service.Service.
+func (d *Dispatch) Needs() []service.Name {
+	return []service.Name{"gatekeeper", "gossip"}
+}
+
+// Start implements service.Service.
+func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
+	var err error
+	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
+		return err
+	}
+	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
+	return err
+}
+
+// Stop implements service.Service.
+func (d *Dispatch) Stop(context.Context) error { return nil }
+
+// Request runs a request at this daemon's gatekeeper.
+func (d *Dispatch) Request(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
+	return d.gatekeeper.Forward(ctx, head, body)
+}
+
+// Control answers a message that has no body.
+func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+	switch m := m.(type) {
+	case message.Announce:
+		return d.gossip.Hear(m), nil
+	default:
+		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,244 @@
+// Package entry decides on each request that a caller sends to this daemon.
+//
+// # Usage
+//
+//	answer, err := e.Serve(ctx, arrival, body)
+//
+// Serve is one straight function: route, key, admit, limit, choose, forward. It
+// knows nothing of HTTP connections, so that another front end can use it.
+package entry
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/chooser"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/hop"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/limit"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/routetable"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// maxAttempts bounds how often one request is forwarded.
+const maxAttempts = 3
+
+// Entry serves callers' requests.
+type Entry struct {
+	Common *common.Common
+
+	tail      *tail.Tail
+	directory *directory.Directory
+	limit     *limit.Limit
+	hop       *hop.Hop
+	chooser   chooser.Chooser
+}
+
+// Arrival is a request as a front end received it.
+type Arrival struct {
+	Method string
+	Target string
+	Path   string
+	Host   string
+	Header map[string][]string
+	Length units.Bytes
+	// Timeout is the caller's own deadline, or zero.
+	Timeout time.Duration
+}
+
+// Name implements service.Service.
+func (e *Entry) Name() service.Name { return "entry" }
+
+// Needs implements service.Service.
+func (e *Entry) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "directory", "limit", "hop"}
+}
+
+// Start implements service.Service.
+func (e *Entry) Start(_ context.Context, f service.Finder) error {
+	var err error
+	if e.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	if e.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if e.limit, err = kernel.Find[*limit.Limit](f, "limit"); err != nil {
+		return err
+	}
+	e.hop, err = kernel.Find[*hop.Hop](f, "hop")
+	return err
+}
+
+// Stop implements service.Service.
+func (e *Entry) Stop(context.Context) error { return nil }
+
+// rules is what the shared settings say about one request.
+type rules struct {
+	match   routetable.Match
+	service settings.Service
+	account ids.Account
+	limits  settings.Account
+}
+
+// Serve runs one request. Its errors carry a verdict.
+func (e *Entry) Serve(ctx context.Context, a Arrival, body io.Reader) (*call.Answer, error) {
+	r, rest, err := e.rule(a)
+	if err != nil {
+		return nil, err
+	}
+	if len(e.directory.Targets(r.match.Service())) == 0 {
+		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the service has no backend server")
+	}
+	head := headOf(a, r, rest)
+	ctx, cancel := e.Common.Clock.Within(ctx, head.Remaining)
+	if err := e.admit(ctx, r); err != nil {
+		cancel()
+		return nil, err
+	}
+	answer, err := e.forward(ctx, head, body)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	answer.Body = &closing{ReadCloser: answer.Body, then: cancel}
+	return answer, nil
+}
+
+// rule finds the route and checks the key.
+func (e *Entry) rule(a Arrival) (rules, bearer.Request, error) {
+	var r rules
+	var rest bearer.Request
+	var err error
+	e.tail.View(func(s *replay.State) { r, rest, err = ruleBy(s, a) })
+	return r, rest, err
+}
+
+func ruleBy(s *replay.State, a Arrival) (rules, bearer.Request, error) {
+	var r rules
+	match, ok := s.Match(a.Host, a.Path)
+	if !ok {
+		return r, bearer.Request{}, verdict.New(verdict.Unrun, http.StatusNotFound, "no route matches the host and path")
+	}
+	r.match = match
+	if r.service, ok = s.Service(match.Service()); !ok {
+		return r, bearer.Request{}, verdict.New(verdict.Unrun, http.StatusNotFound, "the route's service does not exist")
+	}
+	key, rest := bearer.Take(match.Route, bearer.Request{Target: a.Target, Header: a.Header})
+	if match.Route.Open && key == "" {
+		return r, rest, nil
+	}
+	if r.account, ok = s.Key(bearer.HashOf(key)); !ok {
+		if match.Route.Open {
+			return r, rest, nil
+		}
+		return r, rest, verdict.New(verdict.Unrun, http.StatusUnauthorized, "the key is missing or not valid")
+	}
+	if r.limits, ok = s.Account(r.account); !ok {
+		return r, rest, verdict.New(verdict.Unrun, http.StatusUnauthorized, "the key's client account does not exist")
+	}
+	if ids.TeamOf(r.account) != ids.TeamOf(match.ID) {
+		return r, rest, verdict.New(verdict.Unrun, http.StatusUnauthorized, "the key is not valid for this route")
+	}
+	return r, rest, nil
+}
+
+// admit takes a token of the client account; callers without a key need none.
+func (e *Entry) admit(ctx context.Context, r rules) error {
+	if r.account == "" {
+		return nil
+	}
+	return e.limit.Admit(ctx, r.account, r.limits)
+}
+
+// forward tries targets until one answers or a repeat could run the request twice.
+func (e *Entry) forward(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
+	replay, err := newReplayBody(head, body)
+	if err != nil {
+		return nil, err
+	}
+	tried := map[ids.Target]bool{}
+	for attempt := 1; ; attempt++ {
+		target, err := e.choose(head.Service, tried)
+		if err != nil {
+			return nil, err
+		}
+		tried[target.ID] = true
+		head.Server = target.ID
+		head.Attempt = attempt
+		answer, err := e.send(ctx, target, head, replay.reader())
+		if err == nil {
+			return answer, nil
+		}
+		if attempt == maxAttempts || ctx.Err() != nil || !replay.again() || !mayRepeat(head, err) {
+			return nil, err
+		}
+	}
+}
+
+// mayRepeat reports whether the request can be sent again after the error.
+func mayRepeat(head call.Head, err error) bool {
+	return verdict.Of(err) == verdict.Unrun || head.Idempotent
+}
+
+// choose picks a target that was not tried yet.
+func (e *Entry) choose(id ids.Service, tried map[ids.Target]bool) (directory.Candidate, error) {
+	list := e.directory.Targets(id)
+	if len(tried) > 0 {
+		list = untried(list, tried)
+	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	i := e.chooser.Pick(rng, e.Common.Settings.Identity.Centre, list)
+	if i < 0 {
+		return directory.Candidate{}, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "no backend server took the request")
+	}
+	return list[i], nil
+}
+
+func untried(list []directory.Candidate, tried map[ids.Target]bool) []directory.Candidate {
+	var rest []directory.Candidate
+	for _, c := range list {
+		if !tried[c.ID] {
+			rest = append(rest, c)
+		}
+	}
+	return rest
+}
+
+func (e *Entry) send(ctx context.Context, to directory.Candidate, head call.Head, body io.Reader) (*call.Answer, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		head.Remaining = time.Until(deadline)
+	}
+	e.chooser.Begin(to.ID)
+	answer, err := e.hop.Forward(ctx, to.Daemon, head, body)
+	if answer != nil {
+		e.chooser.Learn(answer.Load)
+	}
+	return answer, err
+}
+
+// closing is an answer's body with something to do after it.
+type closing struct {
+	io.ReadCloser
+	then func()
+}
+
+// Close implements io.Closer.
+func (c *closing) Close() error {
+	err := c.ReadCloser.Close()
+	c.then()
+	return err
+}
--- /dev/null
+++ b/internal/entry/replaybody.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// maxReplayBytes is the largest body that is kept for another attempt.
+const maxReplayBytes units.Bytes = 64 << 10
+
+// replayBody is a request's body that can be read again when it is small. A
+// large one streams through and allows one attempt.
+type replayBody struct {
+	kept   []byte
+	stream io.Reader
+}
+
+func newReplayBody(head call.Head, body io.Reader) (*replayBody, error) {
+	if body == nil || head.Length == 0 {
+		return &replayBody{}, nil
+	}
+	if head.Length < 0 || head.Length > maxReplayBytes {
+		return &replayBody{stream: body}, nil
+	}
+	kept, err := io.ReadAll(body)
+	if err != nil || units.Bytes(len(kept)) != head.Length {
+		return nil, verdict.Wrap(verdict.Unrun, http.StatusBadRequest, "the request's body ended early", err)
+	}
+	return &replayBody{kept: kept}, nil
+}
+
+// reader returns the body for one attempt.
+func (b *replayBody) reader() io.Reader {
+	if b.stream != nil {
+		return b.stream
+	}
+	return bytes.NewReader(b.kept)
+}
+
+// again reports whether another attempt can have the whole body.
+func (b *replayBody) again() bool { return b.stream == nil }
--- /dev/null
+++ b/internal/fleet/daemon.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// Announce announces the daemon's backend server to it.
+func (d *Daemon) Announce() error {
+	body, err := json.Marshal(map[string]any{
+		"service": d.Service,
+		"address": d.backend.Listener.Addr().String(),
+		"slots":   d.slots,
+	})
+	if err != nil {
+		return err
+	}
+	return d.tell(http.MethodPut, body)
+}
+
+// Leave drains the daemon's backend server.
+func (d *Daemon) Leave() error { return d.tell(http.MethodDelete, nil) }
+
+func (d *Daemon) tell(method string, body []byte) error {
+	req, err := http.NewRequest(method, d.announce+"/targets/"+string(d.Standin.ID), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errorx.Decorate(err, "announce %s", d.Standin.ID)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return errorx.ExternalError.New("announcement of %s got status %d", d.Standin.ID, resp.StatusCode)
+	}
+	return nil
+}
+
+// Stop stops the daemon gracefully.
+func (d *Daemon) Stop() error {
+	err := d.App.Stop()
+	d.App = nil
+	return err
+}
+
+// ready waits until every daemon knows every target.
+func (f *Fleet) ready() error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if f.complete() {
+			return nil
+		}
+		time.Sleep(readyPause)
+	}
+	return errorx.TimeoutElapsed.New("not every daemon knows every target after %s", readyTimeout)
+}
+
+func (f *Fleet) complete() bool {
+	want := map[ids.Service]int{}
+	for _, d := range f.Daemons {
+		want[d.Service]++
+	}
+	for _, d := range f.Daemons {
+		for id, n := range want {
+			if d.App.Targets(id) != n {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// WaitFor waits until a condition holds; it is for conditions that have no event
+// to wait for.
+func WaitFor(ctx context.Context, holds func() bool) error {
+	for !holds() {
+		select {
+		case <-time.After(readyPause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/arrival.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/entry"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// timeoutHeader carries the caller's deadline in milliseconds.
+const timeoutHeader = "Timeout"
+
+// hopHeaders belong to one connection and are not sent on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	timeoutHeader,
+}
+
+// arrivalOf turns an HTTP request into plain values.
+func arrivalOf(r *http.Request) (entry.Arrival, error) {
+	timeout, err := timeoutOf(r.Header.Get(timeoutHeader))
+	if err != nil {
+		return entry.Arrival{}, err
+	}
+	return entry.Arrival{
+		Method:  r.Method,
+		Target:  r.URL.RequestURI(),
+		Path:    r.URL.Path,
+		Host:    r.Host,
+		Header:  endToEnd(r.Header),
+		Length:  units.Bytes(r.ContentLength),
+		Timeout: timeout,
+	}, nil
+}
+
+func timeoutOf(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, verdict.New(verdict.Unrun, http.StatusBadRequest, "the Timeout header must be a number of milliseconds above 0")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// endToEnd copies the header without what belongs to this connection only.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+func copyHeader(to http.Header, from map[string][]string) {
+	for name, values := range endToEnd(from) {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/front/tracked.go
@@ -0,0 +1,32 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// tracked is a request's body that knows whether it was read to its end.
+type tracked struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (t *tracked) Read(p []byte) (int, error) {
+	n, err := t.ReadCloser.Read(p)
+	if err != nil {
+		t.ended.Store(true)
+	}
+	return n, err
+}
+
+// release wakes a reader that still waits for the caller's bytes when the answer
+// is over; the connection can't serve another request then.
+func (t *tracked) release(w http.ResponseWriter) {
+	if t.ended.Load() {
+		return
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
--- /dev/null
+++ b/internal/hop/hop.go
@@ -0,0 +1,55 @@
+// Package hop takes a request from its entry daemon to the gatekeeper of its
+// target: by a function call on this VM, by QUIC to another.
+//
+// # Usage
+//
+//	answer, err := h.Forward(ctx, "daemon-7", head, body)
+package hop
+
+import (
+	"context"
+	"io"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/dial"
+	"balsamwharf.example/balsamwharf/internal/gatekeeper"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Hop finds the way to gatekeepers.
+type Hop struct {
+	Common *common.Common
+
+	dial       *dial.Dial
+	gatekeeper *gatekeeper.Gatekeeper
+}
+
+// Name implements service.Service.
+func (h *Hop) Name() service.Name { return "hop" }
+
+// Needs implements service.Service.
+func (h *Hop) Needs() []service.Name { return []service.Name{"dial", "gatekeeper"} }
+
+// Start implements service.Service.
+func (h *Hop) Start(_ context.Context, f service.Finder) error {
+	var err error
+	if h.dial, err = kernel.Find[*dial.Dial](f, "dial"); err != nil {
+		return err
+	}
+	h.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper")
+	return err
+}
+
+// Stop implements service.Service.
+func (h *Hop) Stop(context.Context) error { return nil }
+
+// Forward hands the request to the gatekeeper on the daemon.
+func (h *Hop) Forward(ctx context.Context, to ids.Daemon, head call.Head, body io.Reader) (*call.Answer, error) {
+	if to == h.Common.Settings.Identity.Daemon {
+		return h.gatekeeper.Forward(ctx, head, body)
+	}
+	return h.dial.Send(ctx, to, head, body)
+}
--- /dev/null
+++ b/internal/record/codec.go
@@ -0,0 +1,62 @@
+package record
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+)
+
+// kind tells on the log which record follows.
+type kind string
+
+const (
+	kindEdit     kind = "edit"
+	kindSnapshot kind = "snapshot"
+)
+
+// envelope is the form of every record on the log.
+type envelope struct {
+	Kind kind            `cbor:"kind"`
+	Body cbor.RawMessage `cbor:"body"`
+}
+
+// Encode returns the record's form on the log.
+func Encode(r Record) ([]byte, error) {
+	var k kind
+	switch r.(type) {
+	case Edit:
+		k = kindEdit
+	case Snapshot:
+		k = kindSnapshot
+	default:
+		return nil, errorx.IllegalArgument.New("no encoding for record %T", r)
+	}
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		return nil, errorx.Decorate(err, "encode record")
+	}
+	return cbor.Marshal(envelope{Kind: k, Body: body})
+}
+
+// Decode reads a record from its form on the log.
+func Decode(data []byte) (Record, error) {
+	var e envelope
+	if err := cbor.Unmarshal(data, &e); err != nil {
+		return nil, errorx.Decorate(err, "decode record")
+	}
+	switch e.Kind {
+	case kindEdit:
+		return decodeAs[Edit](e.Body)
+	case kindSnapshot:
+		return decodeAs[Snapshot](e.Body)
+	default:
+		return nil, errorx.IllegalFormat.New("record has the unknown kind %q", e.Kind)
+	}
+}
+
+func decodeAs[T Record](body []byte) (Record, error) {
+	var r T
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		return nil, errorx.Decorate(err, "decode %T", r)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/routetable/routetable.go
@@ -0,0 +1,118 @@
+// Package routetable finds the route for a host and a path.
+//
+// # Usage
+//
+//	var t routetable.Table
+//	t.Put("andrade/quotes", route)
+//	m, ok := t.Match("quotes.example", "/quotes/7")
+//
+// The longest prefix wins; at the same prefix a named host wins over any host.
+// A lookup costs one map access for each path segment, however many routes
+// there are.
+package routetable
+
+import (
+	"net"
+	"strings"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// Table maps host and path prefix to a route. The zero value is empty.
+type Table struct {
+	byPlace map[place][]ids.Route
+	routes  map[ids.Route]settings.Route
+}
+
+// place is a host and a path prefix without its trailing slash.
+type place struct {
+	host   string
+	prefix string
+}
+
+// Match is a route that was found.
+type Match struct {
+	ID    ids.Route
+	Route settings.Route
+}
+
+// Service returns the service that the route leads to.
+func (m Match) Service() ids.Service { return ids.ServiceOf(ids.TeamOf(m.ID), m.Route.Service) }
+
+// Put adds a route or replaces the one with the same id.
+func (t *Table) Put(id ids.Route, r settings.Route) {
+	if t.routes == nil {
+		t.routes = map[ids.Route]settings.Route{}
+		t.byPlace = map[place][]ids.Route{}
+	}
+	t.Remove(id)
+	t.routes[id] = r
+	p := placeOf(r)
+	t.byPlace[p] = insert(t.byPlace[p], id)
+}
+
+// insert keeps the ids in order, so that every daemon picks the same route when
+// two have the same place.
+func insert(list []ids.Route, id ids.Route) []ids.Route {
+	i := 0
+	for i < len(list) && list[i] < id {
+		i++
+	}
+	list = append(list, "")
+	copy(list[i+1:], list[i:])
+	list[i] = id
+	return list
+}
+
+// Remove takes the route away.
+func (t *Table) Remove(id ids.Route) {
+	old, ok := t.routes[id]
+	if !ok {
+		return
+	}
+	delete(t.routes, id)
+	p := placeOf(old)
+	list := t.byPlace[p]
+	for i, other := range list {
+		if other == id {
+			t.byPlace[p] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(t.byPlace[p]) == 0 {
+		delete(t.byPlace, p)
+	}
+}
+
+// Match returns the route for the host and the path.
+func (t *Table) Match(host, path string) (Match, bool) {
+	host = hostName(host)
+	for prefix := strings.TrimSuffix(path, "/"); ; prefix = parent(prefix) {
+		for _, h := range []string{host, ""} {
+			if list := t.byPlace[place{host: h, prefix: prefix}]; len(list) > 0 {
+				return Match{ID: list[0], Route: t.routes[list[0]]}, true
+			}
+		}
+		if prefix == "" {
+			return Match{}, false
+		}
+	}
+}
+
+// parent removes the last segment of a path.
+func parent(path string) string {
+	return path[:strings.LastIndexByte(path, '/')]
+}
+
+func placeOf(r settings.Route) place {
+	return place{host: hostName(r.Host), prefix: strings.TrimSuffix(r.Prefix, "/")}
+}
+
+// hostName returns the host in lower case and without a port.
+func hostName(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
