--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -219,8 +219,8 @@
 }
 
 func (e *Entry) send(ctx context.Context, to directory.Candidate, head call.Head, body io.Reader) (*call.Answer, error) {
-	if deadline, ok := ctx.Deadline(); ok {
-		head.Remaining = time.Until(deadline)
+	if left, ok := e.Common.Clock.Left(ctx); ok {
+		head.Remaining = left
 	}
 	e.chooser.Begin(to.ID)
 	answer, err := e.hop.Forward(ctx, to.Daemon, head, body)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -84,7 +84,7 @@
 	if ok {
 		t.close()
 	}
-	g.targets[a.ID] = newTarget(a, now)
+	g.targets[a.ID] = newTarget(g.Common.Clock, a)
 	g.mu.Unlock()
 	g.publish()
 }
--- a/internal/gatekeeper/target.go
+++ b/internal/gatekeeper/target.go
@@ -13,6 +13,7 @@
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/pool"
+	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
@@ -25,6 +26,7 @@
 
 // target is one backend server with its slots and its idle connections.
 type target struct {
+	clock        *timer.Timer
 	announcement Announcement
 	announced    units.Instant
 	renewed      units.Instant
@@ -38,8 +40,9 @@
 	typical time.Duration
 }
 
-func newTarget(a Announcement, now units.Instant) *target {
-	t := &target{announcement: a, announced: now, renewed: now, slots: make(chan struct{}, a.Slots)}
+func newTarget(clock *timer.Timer, a Announcement) *target {
+	now := clock.Now()
+	t := &target{clock: clock, announcement: a, announced: now, renewed: now, slots: make(chan struct{}, a.Slots)}
 	t.idle.Limit = a.Slots
 	return t
 }
@@ -112,7 +115,8 @@
 		if err != nil {
 			return nil, verdict.Wrap(verdict.Unrun, http.StatusServiceUnavailable, "the backend server can't be reached", err)
 		}
-		req := requestOf(ctx, head, body)
+		left, _ := t.clock.Left(ctx)
+		req := requestOf(ctx, left, head, body)
 		resp, sent, err := conn.Exchange(ctx, req)
 		if err == nil {
 			return t.answerOf(conn, resp), nil
@@ -149,16 +153,13 @@
 }
 
 // requestOf builds the HTTP request for the backend server.
-func requestOf(ctx context.Context, head call.Head, body io.Reader) *http.Request {
+func requestOf(ctx context.Context, left time.Duration, head call.Head, body io.Reader) *http.Request {
 	req := (&http.Request{Method: head.Method, Host: head.Host, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	req.URL = opaqueURL(head)
 	for name, values := range head.Header {
 		req.Header[name] = values
 	}
-	if left, ok := ctx.Deadline(); ok {
-		ms := max(time.Until(left).Milliseconds(), 1)
-		req.Header.Set("Timeout", strconv.FormatInt(ms, 10))
-	}
+	req.Header.Set("Timeout", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	if head.Length != 0 && body != nil {
 		req.Body = io.NopCloser(body)
 		req.ContentLength = int64(head.Length)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/dial"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -34,7 +34,7 @@
 	Common *common.Common
 
 	directory *directory.Directory
-	dial      *dial.Dial
+	peers     peer.Caller
 
 	mu  sync.Mutex
 	own member.Member
@@ -52,7 +52,7 @@
 	if g.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
 		return err
 	}
-	if g.dial, err = kernel.Find[*dial.Dial](f, "dial"); err != nil {
+	if g.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
 		return err
 	}
 	set := g.Common.Settings
@@ -133,7 +133,7 @@
 func (g *Gossip) exchange(ctx context.Context, to ids.Daemon, members []member.Member) {
 	ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
 	defer cancel()
-	reply, err := g.dial.Call(ctx, to, message.Announce{Members: members})
+	reply, err := g.peers.Call(ctx, to, message.Announce{Members: members})
 	if err != nil {
 		return
 	}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -12,9 +12,9 @@
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/dial"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -23,7 +23,7 @@
 type Hop struct {
 	Common *common.Common
 
-	dial       *dial.Dial
+	peers      peer.Caller
 	gatekeeper *gatekeeper.Gatekeeper
 }
 
@@ -36,7 +36,7 @@
 // Start implements service.Service.
 func (h *Hop) Start(_ context.Context, f service.Finder) error {
 	var err error
-	if h.dial, err = kernel.Find[*dial.Dial](f, "dial"); err != nil {
+	if h.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
 		return err
 	}
 	h.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper")
@@ -51,5 +51,5 @@
 	if to == h.Common.Settings.Identity.Daemon {
 		return h.gatekeeper.Forward(ctx, head, body)
 	}
-	return h.dial.Send(ctx, to, head, body)
+	return h.peers.Send(ctx, to, head, body)
 }
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -106,3 +106,12 @@
 func (t *Timer) Within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, d)
 }
+
+// Left returns the time until the context's deadline; it is false when there is none.
+func (t *Timer) Left(ctx context.Context) (time.Duration, bool) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0, false
+	}
+	return time.Until(deadline), true
+}
