--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -18,6 +18,7 @@
 	"balsamwharf.example/balsamwharf/internal/announce"
 	"balsamwharf.example/balsamwharf/internal/certs"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/dial"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/dispatch"
@@ -76,6 +77,7 @@
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
+	a.kernel.Add(&confirm.Confirm{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/routetable"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -36,6 +37,9 @@
 // maxAttempts bounds how often one request is forwarded.
 const maxAttempts = 3
 
+// notConfirmedWait is when a caller may find the daemon confirmed again.
+const notConfirmedWait = time.Second
+
 // Entry serves callers' requests.
 type Entry struct {
 	Common *common.Common
@@ -44,6 +48,7 @@
 	directory *directory.Directory
 	limit     *limit.Limit
 	hop       *hop.Hop
+	standing  standing.Standing
 	chooser   chooser.Chooser
 }
 
@@ -64,7 +69,7 @@
 
 // Needs implements service.Service.
 func (e *Entry) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "limit", "hop"}
+	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm"}
 }
 
 // Start implements service.Service.
@@ -79,6 +84,9 @@
 	if e.limit, err = kernel.Find[*limit.Limit](f, "limit"); err != nil {
 		return err
 	}
+	if e.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+		return err
+	}
 	e.hop, err = kernel.Find[*hop.Hop](f, "hop")
 	return err
 }
@@ -100,6 +108,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !r.match.Route.Open && !e.standing.Confirmed() {
+		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "this daemon's settings are not confirmed").After(notConfirmedWait)
+	}
 	if len(e.directory.Targets(r.match.Service())) == 0 {
 		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the service has no backend server")
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -86,6 +86,13 @@
 	g.directory.Put(copied)
 }
 
+// Own returns this daemon's own description.
+func (g *Gossip) Own() member.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.own
+}
+
 // Hear stores what another daemon says and returns what this one knows better.
 func (g *Gossip) Hear(a message.Announce) message.Noted {
 	known := map[ids.Daemon]member.Member{}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,62 @@
+// Package roster describes which daemons take part in shared decisions.
+//
+// # Usage
+//
+//	r := standing.Roster()
+//	holders := rendezvous.Top(string(account), r.Daemons(), 2)
+//
+// A roster is named by a record of the log and counts once that record is in
+// force, so no two daemons act on different rosters at the same time.
+package roster
+
+import "balsamwharf.example/balsamwharf/internal/ids"
+
+// Roster is the list of daemons as of a record. The zero Roster is empty.
+type Roster struct {
+	// Version is the offset of the record that made this roster.
+	Version ids.Offset
+	// Entries are in order of Daemon. They must not be changed.
+	Entries []Entry
+}
+
+// Entry is one daemon of a roster. A restarted daemon has another incarnation
+// and is not the one that the roster names.
+type Entry struct {
+	Daemon      ids.Daemon
+	Incarnation ids.Incarnation
+	Centre      ids.Centre
+	Region      ids.Region
+	// Witness is set for the few daemons that confirm positions while the log is
+	// away.
+	Witness bool
+}
+
+// Find returns the entry of a daemon.
+func (r Roster) Find(id ids.Daemon) (Entry, bool) {
+	for _, e := range r.Entries {
+		if e.Daemon == id {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Daemons returns the names in order.
+func (r Roster) Daemons() []ids.Daemon {
+	all := make([]ids.Daemon, 0, len(r.Entries))
+	for _, e := range r.Entries {
+		all = append(all, e.Daemon)
+	}
+	return all
+}
+
+// Witnesses returns the names of the witnesses in order.
+func (r Roster) Witnesses() []ids.Daemon {
+	var all []ids.Daemon
+	for _, e := range r.Entries {
+		if e.Witness {
+			all = append(all, e.Daemon)
+		}
+	}
+	return all
+}
--- a/internal/tail/tail.go
+++ b/internal/tail/tail.go
@@ -39,8 +39,11 @@
 	mu      sync.RWMutex
 	state   replay.State
 	changed chan struct{}
-	current units.Instant
-	done    chan struct{}
+	// asked is when the newest question was sent whose answer showed that the
+	// state holds every record of the log.
+	asked units.Instant
+	known bool
+	done  chan struct{}
 }
 
 // Name implements service.Service.
@@ -84,6 +87,14 @@
 	}
 }
 
+// Asked returns when the newest question was sent whose answer showed that the
+// state holds every record of the log; it is false when there was none.
+func (t *Tail) Asked() (units.Instant, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.asked, t.known
+}
+
 // run reads the log until the kernel stops.
 func (t *Tail) run(ctx context.Context) {
 	defer close(t.done)
@@ -102,15 +113,16 @@
 	t.mu.RLock()
 	from := t.state.Offset() + 1
 	t.mu.RUnlock()
+	asked := t.Common.Clock.Now()
 	page, err := t.Log.Read(ctx, platformlog.Settings, from, pageLimit, readWait)
 	if err != nil {
 		return err
 	}
-	t.apply(page)
+	t.apply(asked, page)
 	return nil
 }
 
-func (t *Tail) apply(page platformlog.Page) {
+func (t *Tail) apply(asked units.Instant, page platformlog.Page) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, item := range page.Items {
@@ -123,6 +135,9 @@
 		t.state.Apply(item.At, rec)
 		t.Common.Invariant.Check(t.state.Offset() >= before, "settings reverted")
 	}
+	if t.state.Offset() >= page.Last {
+		t.asked, t.known = asked, true
+	}
 	if len(page.Items) > 0 {
 		close(t.changed)
 		t.changed = make(chan struct{})
