--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -133,7 +133,7 @@
 	}
 	d.set.Identity = settings.Identity{Daemon: id, Centre: d.Centre, Region: "home"}
 	d.set.Logging.Level = "info"
-	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second}
+	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second, Retention: 24 * time.Hour}
 	f.Daemons = append(f.Daemons, d)
 	return nil
 }
--- a/internal/platformlog/platformlog.go
+++ b/internal/platformlog/platformlog.go
@@ -27,13 +27,9 @@
 // Stream names one stream of the log.
 type Stream string
 
-// The streams that the system keeps.
-const (
-	// Settings carries operators' edits and snapshots.
-	Settings Stream = "settings"
-	// Fleet carries rosters and claims.
-	Fleet Stream = "fleet"
-)
+// Settings carries operators' edits, snapshots and rosters. One stream gives one
+// offset and one total order.
+const Settings Stream = "settings"
 
 // Item is one record with its offset.
 type Item struct {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -32,20 +32,31 @@
 	Remove bool
 }
 
-// Snapshot holds all sections as of an offset.
-type Snapshot struct {
-	As       ids.Offset
-	Sections []Section
-	// Recent lists the edits applied lately, so that a repeat is still known.
-	Recent []ids.Edit
-}
+// Result names what an edit did, as a snapshot remembers it.
+type Result string
+
+// The results of an edit.
+const (
+	Accepted Result = "accepted"
+	Conflict Result = "conflict"
+	Denied   Result = "denied"
+	Invalid  Result = "invalid"
+)
 
-// Section is one section within a Snapshot.
-type Section struct {
-	Path    ids.Path
-	Version ids.Offset
-	Values  map[string]string
+// Remembered is an edit that was applied lately, with its outcome.
+type Remembered struct {
+	ID     ids.Edit
+	Result Result
+	// At is the version that an accepted edit made, or the one that a conflicting
+	// edit met.
+	At     ids.Offset
+	Reason string
 }
 
-func (Edit) isRecord()     {}
-func (Snapshot) isRecord() {}
+// Unreadable stands for a record that this daemon can't decode, or that a relay
+// left out because it has no effect. It never stands on the log.
+type Unreadable struct{}
+
+func (Edit) isRecord()       {}
+func (Snapshot) isRecord()   {}
+func (Unreadable) isRecord() {}
--- /dev/null
+++ b/internal/record/snapshot.go
@@ -0,0 +1,56 @@
+package record
+
+import (
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// PartSections is how many sections one part of a snapshot holds at most.
+const PartSections = 1000
+
+// Snapshot holds all sections as of an offset, or one part of them. The parts of
+// one snapshot share As, Maker and Made.
+type Snapshot struct {
+	As    ids.Offset
+	Maker ids.Daemon
+	// Logged is the As of the newest snapshot on the log, and Made the time of day
+	// at its maker. They only decide when the next snapshot is due.
+	Logged ids.Offset
+	Made   time.Time
+	// Part counts from 0 to Parts-1.
+	Part  int
+	Parts int
+	// Digest is the digest of the whole state as of As.
+	Digest   uint64
+	Sections []Section
+	// Recent lists the edits applied lately, oldest first, so that a repeat is
+	// still known. The first part holds all of them.
+	Recent []Remembered
+}
+
+// Section is one section within a Snapshot.
+type Section struct {
+	Path    ids.Path
+	Version ids.Offset
+	Values  map[string]string
+}
+
+// Split cuts a whole snapshot into parts that fit into one record each.
+func (s Snapshot) Split(sections int) []Snapshot {
+	count := max(1, (len(s.Sections)+sections-1)/sections)
+	parts := make([]Snapshot, 0, count)
+	rest := s.Sections
+	for i := range count {
+		n := min(sections, len(rest))
+		part := s
+		part.Part, part.Parts = i, count
+		part.Sections = rest[:n:n]
+		if i > 0 {
+			part.Recent = nil
+		}
+		rest = rest[n:]
+		parts = append(parts, part)
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/replay/digest.go
@@ -0,0 +1,48 @@
+package replay
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// Digest is a hash of a State's content. Two daemons at one offset have the same
+// Digest.
+type Digest uint64
+
+// Digest returns the digest of the sections and of the remembered edits. It is
+// kept up to date with each record and costs nothing to read.
+func (s *State) Digest() Digest { return s.digest + s.memory.digest }
+
+// digestOf hashes one section. The sum over all sections does not depend on the
+// order in which they came.
+func digestOf(path ids.Path, e Entry) Digest {
+	var h xxhash.Digest
+	h.Reset()
+	write(&h, string(path))
+	writeOffset(&h, e.Version)
+	values := settings.Values(e.Section)
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		write(&h, name, values[name])
+	}
+	return Digest(h.Sum64())
+}
+
+// write adds texts to the hash, each with its length.
+func write(h *xxhash.Digest, texts ...string) {
+	for _, t := range texts {
+		writeOffset(h, ids.Offset(len(t)))
+		_, _ = h.WriteString(t)
+	}
+}
+
+func writeOffset(h *xxhash.Digest, at ids.Offset) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(at))
+	_, _ = h.Write(b[:])
+}
--- a/internal/replay/outcome.go
+++ b/internal/replay/outcome.go
@@ -24,9 +24,13 @@
 // Skipped means that the record has no effect on this state.
 type Skipped struct{}
 
+// Gap means that records before this one are missing. Nothing was applied.
+type Gap struct{ Next ids.Offset }
+
 func (Accepted) isOutcome() {}
 func (Conflict) isOutcome() {}
 func (Repeated) isOutcome() {}
 func (Denied) isOutcome()   {}
 func (Invalid) isOutcome()  {}
 func (Skipped) isOutcome()  {}
+func (Gap) isOutcome()      {}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -17,6 +17,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/record"
@@ -28,49 +29,60 @@
 // needs no credential; later ones need the root credential.
 const RootTeam ids.Team = "root"
 
-// recentEdits is how many edit ids are kept to recognise repeats.
-const recentEdits = 4096
-
 // Entry is one section with its version.
 type Entry struct {
 	Section settings.Section
-	Values  map[string]string
 	Version ids.Offset
 }
 
+// Values returns the names of the section that differ from their defaults.
+func (e Entry) Values() map[string]string { return settings.Values(e.Section) }
+
 // State is the shared settings as of an offset.
 type State struct {
 	offset   ids.Offset
 	sections map[ids.Path]Entry
-	recent   map[ids.Edit]Outcome
-	order    []ids.Edit
-	keys     map[ids.Hash]ids.Account
+	owned    map[ids.Team]int
+	keys     map[ids.Hash]ids.Path
 	routes   routetable.Table
+	memory   memory
+	digest   Digest
+	snapshot Taken
+}
+
+// Taken describes the newest complete snapshot on the log.
+type Taken struct {
+	// As is the offset of the state in the snapshot; zero when there is none.
+	As ids.Offset
+	// Made is the time of day at its maker.
+	Made time.Time
 }
 
 // Offset returns the offset of the last record applied.
 func (s *State) Offset() ids.Offset { return s.offset }
 
+// Taken returns the newest snapshot that the state has seen.
+func (s *State) Taken() Taken { return s.snapshot }
+
 // Apply applies the record at the offset. Records at or before the state's
-// offset are skipped, so that a repeated read is harmless.
+// offset are skipped, so that a repeated read is harmless. A record that is not
+// the next one gives Gap and changes nothing.
 func (s *State) Apply(at ids.Offset, rec record.Record) Outcome {
 	if at <= s.offset {
 		return Skipped{}
 	}
+	if at != s.offset+1 {
+		return Gap{Next: s.offset + 1}
+	}
 	s.init()
+	s.offset = at
 	switch r := rec.(type) {
 	case record.Edit:
-		out := s.edit(at, r)
-		s.offset = at
-		return out
+		return s.edit(at, r)
 	case record.Snapshot:
-		if s.offset == 0 {
-			s.load(r)
-		}
-		s.offset = at
+		s.note(r)
 		return Skipped{}
 	default:
-		s.offset = at
 		return Skipped{}
 	}
 }
@@ -78,138 +90,75 @@
 func (s *State) init() {
 	if s.sections == nil {
 		s.sections = map[ids.Path]Entry{}
-		s.recent = map[ids.Edit]Outcome{}
-		s.keys = map[ids.Hash]ids.Account{}
+		s.owned = map[ids.Team]int{}
+		s.keys = map[ids.Hash]ids.Path{}
+	}
+}
+
+// note keeps when the newest snapshot was completed. Parts are appended in
+// order, so the last part completes it.
+func (s *State) note(part record.Snapshot) {
+	if part.Part == part.Parts-1 && part.As > s.snapshot.As {
+		s.snapshot = Taken{As: part.As, Made: part.Made}
 	}
 }
 
 // edit rules on one edit and applies it when it is accepted.
 func (s *State) edit(at ids.Offset, e record.Edit) Outcome {
-	if _, ok := s.recent[e.ID]; ok {
+	if _, ok := s.memory.find(e.ID); ok {
 		return Repeated{}
 	}
-	out := s.Judge(at, e)
+	section, out := s.rule(at, e)
 	if _, ok := out.(Accepted); ok {
-		s.put(at, e)
+		s.put(at, e.Path, section)
 	}
-	s.remember(e.ID, out)
+	s.memory.add(e.ID, out)
 	return out
 }
 
-// Judge says what the edit would do at the offset, without applying it.
-func (s *State) Judge(at ids.Offset, e record.Edit) Outcome {
-	if reason := s.denied(e); reason != "" {
-		return Denied{Reason: reason}
-	}
-	current := s.sections[e.Path].Version
-	if current != e.Base {
-		return Conflict{Current: current}
-	}
-	if e.Remove {
-		return Accepted{Version: at}
-	}
-	if _, err := settings.Parse(e.Path, e.Values); err != nil {
-		return Invalid{Reason: err.Error()}
-	}
-	return Accepted{Version: at}
-}
-
-// denied returns why the credential does not cover the path, or "".
-func (s *State) denied(e record.Edit) string {
-	kind := settings.KindOf(e.Path)
-	if kind == settings.KindNone {
-		return "the path names no section"
-	}
-	team := settings.TeamOf(e.Path)
-	if kind == settings.KindTeam {
-		root, ok := s.Team(RootTeam)
-		if !ok && team == RootTeam {
-			return ""
-		}
-		if !ok || root.Credential != e.Credential {
-			return "only the root credential edits a team's own section"
-		}
-		return ""
-	}
-	owner, ok := s.Team(team)
-	if !ok {
-		return "the team does not exist"
-	}
-	if owner.Credential != e.Credential {
-		return "the credential is not the team's"
-	}
-	return ""
-}
-
-func (s *State) put(at ids.Offset, e record.Edit) {
-	s.unindex(e.Path)
-	if e.Remove {
-		delete(s.sections, e.Path)
+// put stores a section, or removes it when section is nil.
+func (s *State) put(at ids.Offset, path ids.Path, section settings.Section) {
+	s.drop(path)
+	if section == nil {
 		return
 	}
-	section, err := settings.Parse(e.Path, e.Values)
-	if err != nil {
-		return
-	}
-	s.sections[e.Path] = Entry{Section: section, Values: maps.Clone(e.Values), Version: at}
-	s.index(e.Path, section)
-}
-
-func (s *State) remember(id ids.Edit, out Outcome) {
-	s.recent[id] = out
-	s.order = append(s.order, id)
-	if len(s.order) > recentEdits {
-		delete(s.recent, s.order[0])
-		s.order = s.order[1:]
-	}
-}
-
-func (s *State) index(path ids.Path, section settings.Section) {
+	entry := Entry{Section: section, Version: at}
+	s.sections[path] = entry
+	s.digest += digestOf(path, entry)
 	team := settings.TeamOf(path)
 	switch v := section.(type) {
 	case settings.Key:
-		s.keys[v.Hash] = ids.AccountOf(team, v.Account)
+		s.keys[v.Hash] = path
 	case settings.Route:
 		s.routes.Put(ids.RouteOf(team, settings.NameOf(path)), v)
 	}
+	if settings.KindOf(path) != settings.KindTeam {
+		s.owned[team]++
+	}
 }
 
-func (s *State) unindex(path ids.Path) {
+// drop removes a section if there is one.
+func (s *State) drop(path ids.Path) {
 	old, ok := s.sections[path]
 	if !ok {
 		return
 	}
+	delete(s.sections, path)
+	s.digest -= digestOf(path, old)
+	team := settings.TeamOf(path)
 	switch v := old.Section.(type) {
 	case settings.Key:
 		delete(s.keys, v.Hash)
 	case settings.Route:
-		s.routes.Remove(ids.RouteOf(settings.TeamOf(path), settings.NameOf(path)))
+		s.routes.Remove(ids.RouteOf(team, settings.NameOf(path)))
 	}
-}
-
-// load replaces the state by a snapshot.
-func (s *State) load(snap record.Snapshot) {
-	for _, sec := range snap.Sections {
-		parsed, err := settings.Parse(sec.Path, sec.Values)
-		if err != nil {
-			continue
-		}
-		s.sections[sec.Path] = Entry{Section: parsed, Values: sec.Values, Version: sec.Version}
-		s.index(sec.Path, parsed)
-	}
-	for _, id := range snap.Recent {
-		s.remember(id, Skipped{})
+	if settings.KindOf(path) == settings.KindTeam {
+		return
 	}
-}
-
-// Snapshot returns all sections as a record, in the order of their paths.
-func (s *State) Snapshot() record.Snapshot {
-	snap := record.Snapshot{As: s.offset, Recent: slices.Clone(s.order)}
-	for _, path := range slices.Sorted(maps.Keys(s.sections)) {
-		e := s.sections[path]
-		snap.Sections = append(snap.Sections, record.Section{Path: path, Version: e.Version, Values: e.Values})
+	s.owned[team]--
+	if s.owned[team] == 0 {
+		delete(s.owned, team)
 	}
-	return snap
 }
 
 // Get returns the section at the path.
@@ -222,18 +171,19 @@
 func (s *State) Paths() []ids.Path { return slices.Sorted(maps.Keys(s.sections)) }
 
 // Outcome returns what the edit did, when it is known.
-func (s *State) Outcome(id ids.Edit) (Outcome, bool) {
-	o, ok := s.recent[id]
-	return o, ok
-}
+func (s *State) Outcome(id ids.Edit) (Outcome, bool) { return s.memory.find(id) }
 
 // Match returns the route for a host and a path.
 func (s *State) Match(host, path string) (routetable.Match, bool) { return s.routes.Match(host, path) }
 
 // Key returns the account that the key's hash stands for.
 func (s *State) Key(h ids.Hash) (ids.Account, bool) {
-	a, ok := s.keys[h]
-	return a, ok
+	path, ok := s.keys[h]
+	if !ok {
+		return "", false
+	}
+	key, ok := s.sections[path].Section.(settings.Key)
+	return ids.AccountOf(settings.TeamOf(path), key.Account), ok
 }
 
 // Service returns a service's settings.
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,237 @@
+package replay_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
+)
+
+const (
+	rootHash ids.Hash = "00000000000000000000000000000000000000000000000000000000000000aa"
+	teamHash ids.Hash = "00000000000000000000000000000000000000000000000000000000000000bb"
+	keyHash  ids.Hash = "00000000000000000000000000000000000000000000000000000000000000cc"
+)
+
+type values = map[string]string
+
+func edit(id ids.Edit, path ids.Path, base ids.Offset, v values) record.Edit {
+	return record.Edit{ID: id, Path: path, Base: base, Credential: teamHash, Values: v}
+}
+
+func remove(id ids.Edit, path ids.Path, base ids.Offset) record.Edit {
+	return record.Edit{ID: id, Path: path, Base: base, Credential: teamHash, Remove: true}
+}
+
+func byRoot(e record.Edit) record.Edit {
+	e.Credential = rootHash
+	return e
+}
+
+// start makes the root team at 1 and the team andrade at 2.
+func start() []record.Record {
+	return []record.Record{
+		edit("s1", "teams/root", 0, values{"credential": string(rootHash)}),
+		byRoot(edit("s2", "teams/andrade", 0, values{"credential": string(teamHash)})),
+	}
+}
+
+func apply(s *replay.State, recs ...record.Record) replay.Outcome {
+	var out replay.Outcome
+	for _, r := range recs {
+		out = s.Apply(s.Offset()+1, r)
+	}
+	return out
+}
+
+func TestApply(t *testing.T) {
+	key := func(id ids.Edit, name string, base ids.Offset, account string) record.Edit {
+		return edit(id, ids.Path("teams/andrade/keys/"+name), base, values{"hash": string(keyHash), "account": account})
+	}
+	route := func(id ids.Edit, name string) record.Edit {
+		return edit(id, ids.Path("teams/andrade/routes/"+name), 0, values{"prefix": "/q", "service": "quotes"})
+	}
+	const school = "teams/andrade/accounts/school"
+	cases := []struct {
+		name string
+		recs []record.Record
+		want replay.Outcome
+	}{
+		{"first section", []record.Record{edit("a", school, 0, nil)}, replay.Accepted{Version: 3}},
+		{"stale base", []record.Record{edit("a", school, 0, nil), edit("b", school, 0, nil)}, replay.Conflict{Current: 3}},
+		{"base of a section that is gone", []record.Record{edit("a", school, 0, nil), remove("b", school, 3), edit("c", school, 3, nil)}, replay.Conflict{}},
+		{"same id again", []record.Record{edit("a", school, 0, nil), edit("a", school, 3, nil)}, replay.Repeated{}},
+		{"other team's credential", []record.Record{byRoot(edit("a", school, 0, nil))}, replay.Denied{Reason: "the credential is not the team's"}},
+		{"unknown team", []record.Record{edit("a", "teams/x/accounts/y", 0, nil)}, replay.Denied{Reason: "the team does not exist"}},
+		{"bad path", []record.Record{edit("a", "teams/andrade/keys/a b", 0, nil)}, replay.Denied{Reason: "the path names no section"}},
+		{"root again without its credential", []record.Record{edit("a", "teams/root", 1, nil)}, replay.Denied{Reason: "only the root credential edits a team's own section"}},
+		{"remove root", []record.Record{byRoot(remove("a", "teams/root", 1))}, replay.Invalid{Reason: "the root team can't be removed"}},
+		{"remove team in use", []record.Record{edit("a", school, 0, nil), byRoot(remove("b", "teams/andrade", 2))}, replay.Invalid{Reason: "the team still has 1 sections"}},
+		{"remove empty team", []record.Record{edit("a", school, 0, nil), remove("b", school, 3), byRoot(remove("c", "teams/andrade", 2))}, replay.Accepted{Version: 5}},
+		{"second section with a key's hash", []record.Record{key("a", "one", 0, "school"), key("b", "two", 0, "other")}, replay.Invalid{Reason: "another section holds the same hash"}},
+		{"key moves to another section", []record.Record{key("a", "one", 0, "school"), remove("b", "teams/andrade/keys/one", 3), key("c", "two", 0, "other")}, replay.Accepted{Version: 5}},
+		{"key moves to another account", []record.Record{key("a", "one", 0, "school"), key("b", "one", 3, "other")}, replay.Accepted{Version: 4}},
+		{"route at a place that is taken", []record.Record{route("a", "one"), route("b", "two")}, replay.Invalid{Reason: `route "andrade/one" has the same host and prefix`}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var s replay.State
+			apply(&s, start()...)
+			must.Eq(t, c.want, apply(&s, c.recs...))
+		})
+	}
+}
+
+func TestValuesThatAreNotNumbers(t *testing.T) {
+	for _, rate := range []string{"NaN", "Inf", "-1", "0", "x"} {
+		var s replay.State
+		apply(&s, start()...)
+		out := apply(&s, edit("a", "teams/andrade/accounts/school", 0, values{"rate": rate}))
+		_, ok := out.(replay.Invalid)
+		must.True(t, ok, must.Sprintf("rate %s gives %#v", rate, out))
+	}
+}
+
+// A key follows its section to another account and dies with it.
+func TestKeyFollowsSection(t *testing.T) {
+	var s replay.State
+	apply(&s, start()...)
+	apply(&s, edit("a", "teams/andrade/keys/one", 0, values{"hash": string(keyHash), "account": "school"}))
+	apply(&s, edit("b", "teams/andrade/keys/one", 3, values{"hash": string(keyHash), "account": "other"}))
+	a, ok := s.Key(keyHash)
+	must.True(t, ok)
+	must.EqOp(t, "andrade/other", a)
+	apply(&s, remove("c", "teams/andrade/keys/one", 4))
+	_, ok = s.Key(keyHash)
+	must.False(t, ok)
+}
+
+func TestGapChangesNothing(t *testing.T) {
+	var s replay.State
+	apply(&s, start()...)
+	must.Eq(t, replay.Outcome(replay.Gap{Next: 3}), s.Apply(4, edit("a", "teams/andrade/accounts/x", 0, nil)))
+	must.EqOp(t, 2, s.Offset())
+}
+
+// Snapshots that are cut, incomplete or changed are not loaded.
+func TestSnapshotParts(t *testing.T) {
+	var s replay.State
+	apply(&s, start()...)
+	for i := range 10 {
+		apply(&s, edit(ids.Edit(fmt.Sprint(i)), ids.Path(fmt.Sprintf("teams/andrade/accounts/a%d", i)), 0, nil))
+	}
+	parts := s.Snapshot().Split(5)
+	must.SliceLen(t, 3, parts)
+	var a record.Assembly
+	for _, p := range []record.Snapshot{parts[2], parts[0], parts[0]} {
+		_, whole := a.Add(p)
+		must.False(t, whole)
+	}
+	snap, whole := a.Add(parts[1])
+	must.True(t, whole)
+	loaded, err := replay.Load(snap)
+	must.NoError(t, err)
+	must.EqOp(t, s.Digest(), loaded.Digest())
+	must.EqOp(t, s.Offset(), loaded.Offset())
+	snap.Sections[0].Version++
+	_, err = replay.Load(snap)
+	must.ErrorContains(t, err, "digest")
+}
+
+// randomEdit draws edits that collide often: few paths, ids, hashes and bases.
+func randomEdit(t *rapid.T, at int) record.Record {
+	names := []string{"one", "two", "three"}
+	team := rapid.SampledFrom([]string{"root", "andrade", "other"}).Draw(t, "team")
+	name := rapid.SampledFrom(names).Draw(t, "name")
+	hash := strings.Repeat(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "hash"), 64)
+	path, v := "teams/"+team, values{"credential": hash}
+	switch rapid.SampledFrom([]string{"team", "keys", "routes", "accounts"}).Draw(t, "kind") {
+	case "keys":
+		path, v = path+"/keys/"+name, values{"hash": hash, "account": name}
+	case "routes":
+		path, v = path+"/routes/"+name, values{"service": name, "prefix": "/" + name[:1]}
+	case "accounts":
+		path, v = path+"/accounts/"+name, values{"rate": rapid.SampledFrom([]string{"1", "2.5", "-1"}).Draw(t, "rate")}
+	}
+	return record.Edit{
+		ID: ids.Edit(fmt.Sprint(rapid.IntRange(0, 2*at+1).Draw(t, "id"))), Path: ids.Path(path), Values: v,
+		Base:       ids.Offset(rapid.IntRange(0, at).Draw(t, "base")),
+		Credential: ids.Hash(strings.Repeat(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "credential"), 64)),
+		Remove:     rapid.IntRange(0, 4).Draw(t, "remove") == 0,
+	}
+}
+
+// The state depends on the records alone: not on how often they are read, and
+// not on whether it began from a snapshot.
+func TestSameRecordsSameState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "records")
+		cut := ids.Offset(rapid.IntRange(0, n).Draw(t, "cut"))
+		var all replay.State
+		var recs []record.Record
+		var snap record.Snapshot
+		for i := range n {
+			if all.Offset() == cut {
+				snap = all.Snapshot()
+			}
+			recs = append(recs, draw(t, &all, i))
+			all.Apply(all.Offset()+1, recs[i])
+		}
+		if all.Offset() == cut {
+			snap = all.Snapshot()
+		}
+		late, err := replay.Load(snap)
+		must.NoError(t, err)
+		must.True(t, all.Follows(late))
+		for late.Offset() < all.Offset() {
+			from := rapid.IntRange(0, int(late.Offset())).Draw(t, "from")
+			to := rapid.IntRange(int(late.Offset())+1, n).Draw(t, "to")
+			for i := from; i < to; i++ {
+				late.Apply(ids.Offset(i+1), recs[i])
+			}
+		}
+		must.EqOp(t, all.Digest(), late.Digest())
+		must.Eq(t, all.Snapshot(), late.Snapshot())
+	})
+}
+
+// draw returns a random edit; half of them name the current version, so that
+// many are accepted.
+func draw(t *rapid.T, s *replay.State, i int) record.Record {
+	if i == 0 {
+		return edit("root", "teams/root", 0, values{"credential": strings.Repeat("a", 64)})
+	}
+	e := randomEdit(t, i).(record.Edit)
+	if rapid.Bool().Draw(t, "current") {
+		e.Base = s.Version(e.Path)
+	}
+	return e
+}
+
+// The memory of edits is bounded by order, and a daemon that starts from a
+// snapshot forgets the same edits.
+func TestMemoryIsBounded(t *testing.T) {
+	var s replay.State
+	apply(&s, start()...)
+	for i := range 5000 {
+		apply(&s, edit(ids.Edit(fmt.Sprint(i)), "teams/andrade/accounts/x", s.Version("teams/andrade/accounts/x"), nil))
+	}
+	late, err := replay.Load(s.Snapshot())
+	must.NoError(t, err)
+	for _, id := range []ids.Edit{"0", "903", "904", "4999"} {
+		want, known := s.Outcome(id)
+		got, ok := late.Outcome(id)
+		must.EqOp(t, known, ok)
+		must.Eq(t, want, got)
+	}
+	_, known := s.Outcome("904")
+	must.True(t, known)
+	_, known = s.Outcome("903")
+	must.False(t, known)
+}
--- /dev/null
+++ b/internal/replay/rule.go
@@ -0,0 +1,107 @@
+package replay
+
+import (
+	"fmt"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// Judge says what the edit would do at the offset, without applying it.
+func (s *State) Judge(at ids.Offset, e record.Edit) Outcome {
+	_, out := s.rule(at, e)
+	return out
+}
+
+// rule returns the section that an accepted edit leaves; it is nil on removal.
+func (s *State) rule(at ids.Offset, e record.Edit) (settings.Section, Outcome) {
+	if reason := s.denied(e); reason != "" {
+		return nil, Denied{Reason: reason}
+	}
+	if current := s.sections[e.Path].Version; current != e.Base {
+		return nil, Conflict{Current: current}
+	}
+	if e.Remove {
+		if reason := s.kept(e.Path); reason != "" {
+			return nil, Invalid{Reason: reason}
+		}
+		return nil, Accepted{Version: at}
+	}
+	section, err := settings.Parse(e.Path, e.Values)
+	if err != nil {
+		return nil, Invalid{Reason: err.Error()}
+	}
+	if reason := s.taken(e.Path, section); reason != "" {
+		return nil, Invalid{Reason: reason}
+	}
+	return section, Accepted{Version: at}
+}
+
+// denied returns why the credential does not cover the path, or "".
+func (s *State) denied(e record.Edit) string {
+	kind := settings.KindOf(e.Path)
+	if kind == settings.KindNone {
+		return "the path names no section"
+	}
+	team := settings.TeamOf(e.Path)
+	if kind == settings.KindTeam {
+		return s.deniedTeam(team, e)
+	}
+	owner, ok := s.Team(team)
+	if !ok {
+		return "the team does not exist"
+	}
+	if owner.Credential != e.Credential {
+		return "the credential is not the team's"
+	}
+	return ""
+}
+
+// deniedTeam rules on edits of a team's own section. The very first edit of the
+// root team needs no credential.
+func (s *State) deniedTeam(team ids.Team, e record.Edit) string {
+	root, ok := s.Team(RootTeam)
+	if !ok && team == RootTeam {
+		return ""
+	}
+	if !ok || root.Credential != e.Credential {
+		return "only the root credential edits a team's own section"
+	}
+	return ""
+}
+
+// kept returns why the section must not be removed, or "". Without the root
+// team anyone could name a new root credential; without its team nobody could
+// withdraw the keys that remain.
+func (s *State) kept(path ids.Path) string {
+	if settings.KindOf(path) != settings.KindTeam {
+		return ""
+	}
+	team := settings.TeamOf(path)
+	if team == RootTeam {
+		return "the root team can't be removed"
+	}
+	if n := s.owned[team]; n > 0 {
+		return fmt.Sprintf("the team still has %d sections", n)
+	}
+	return ""
+}
+
+// taken returns why a section clashes with another one, or "". A key's hash
+// stands in one section only, so that its removal withdraws the key; a host with
+// a prefix belongs to one route, so that no team takes another's requests.
+func (s *State) taken(path ids.Path, section settings.Section) string {
+	switch v := section.(type) {
+	case settings.Key:
+		if other, ok := s.keys[v.Hash]; ok && other != path {
+			return "another section holds the same hash"
+		}
+	case settings.Route:
+		own := ids.RouteOf(settings.TeamOf(path), settings.NameOf(path))
+		if other, ok := s.routes.Holder(v); ok && other != own {
+			return fmt.Sprintf("route %q has the same host and prefix", other)
+		}
+	}
+	return ""
+}
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -100,9 +100,18 @@
 	}
 }
 
+// Holder returns the route that stands at the same host and prefix as r.
+func (t *Table) Holder(r settings.Route) (ids.Route, bool) {
+	list := t.byPlace[placeOf(r)]
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[0], true
+}
+
 // parent removes the last segment of a path.
 func parent(path string) string {
-	return path[:strings.LastIndexByte(path, '/')]
+	return path[:max(0, strings.LastIndexByte(path, '/'))]
 }
 
 func placeOf(r settings.Route) place {
--- a/internal/settings/kind.go
+++ b/internal/settings/kind.go
@@ -23,7 +23,7 @@
 func KindOf(path ids.Path) Kind {
 	parts := strings.Split(string(path), "/")
 	for _, p := range parts {
-		if p == "" {
+		if !isName(p) {
 			return KindNone
 		}
 	}
@@ -42,6 +42,26 @@
 	return KindNone
 }
 
+// maxName bounds one part of a path, in bytes.
+const maxName = 128
+
+// isName reports whether a part of a path consists of letters, digits, dots,
+// dashes and underscores.
+func isName(part string) bool {
+	if part == "" || len(part) > maxName {
+		return false
+	}
+	for _, c := range []byte(part) {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
+		case c == '.', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // TeamOf returns the team whose subtree holds the path.
 func TeamOf(path ids.Path) ids.Team {
 	parts := strings.Split(string(path), "/")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -164,6 +165,9 @@
 		return setBool(field, text)
 	case reflect.Float64:
 		f, err := strconv.ParseFloat(strings.TrimSuffix(text, "%"), 64)
+		if math.IsNaN(f) || math.IsInf(f, 0) {
+			return errors.New("not a finite number")
+		}
 		field.SetFloat(f)
 		return err
 	case reflect.Int:
--- a/internal/tail/tail.go
+++ b/internal/tail/tail.go
@@ -129,7 +129,7 @@
 		rec, err := record.Decode(item.Data)
 		if err != nil {
 			t.Common.Warn(event.RecordBad, zap.Uint64("offset", uint64(item.At)), zap.Error(err))
-			continue
+			rec = record.Unreadable{}
 		}
 		before := t.state.Offset()
 		t.state.Apply(item.At, rec)
