Follow the settings through two readers per data centre

Cause: every daemon read the log by itself: 2,000 daemons would make 4,000 reads a second at rest, and a gap after expired records was not handled at all. Now two daemons of each centre read the log and the others pull from them, with the age of the relay's own evidence taken off. A follower falls back to the other reader and then to the log.

Conclusion: calls at rest grow with the number of centres, not of daemons.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -31,6 +31,7 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -74,6 +75,7 @@
 	a.kernel.Add(clock)
 	a.kernel.Add(&directory.Directory{})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
+	a.kernel.Add(&relay.Relay{Common: c})
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -29,6 +30,7 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	relay      *relay.Relay
 }
 
 // Name implements service.Service.
@@ -36,7 +38,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip"}
+	return []service.Name{"gatekeeper", "gossip", "relay"}
 }
 
 // Start implements service.Service.
@@ -45,6 +47,9 @@
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
 	}
+	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
+		return err
+	}
 	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
 	return err
 }
@@ -58,10 +63,14 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Pull:
+		return d.relay.Pull(ctx, m), nil
+	case message.Fetch:
+		return d.relay.Fetch(m)
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- a/internal/logstub/logstub.go
+++ b/internal/logstub/logstub.go
@@ -28,7 +28,7 @@
 )
 
 // ErrAway is what callers get while the log is away.
-var ErrAway = errorx.ExternalError.New("log service is away")
+var ErrAway = platformlog.NotAppended.New("log service is away")
 
 // Stub is an append-only log in memory with switchable faults.
 type Stub struct {
@@ -37,7 +37,9 @@
 	away    bool
 	slow    time.Duration
 	lose    int
+	drop    int
 	appends int
+	reads   int
 }
 
 // stream is one stream; the record with offset first is items[0].
@@ -73,6 +75,14 @@
 	s.lose = n
 }
 
+// DropAppends makes the next n appends fail without effect, in a way that the
+// caller can't tell from a lost reply.
+func (s *Stub) DropAppends(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop = n
+}
+
 // Expire drops all but the newest keep records of a stream.
 func (s *Stub) Expire(name platformlog.Stream, keep int) {
 	s.mu.Lock()
@@ -91,6 +101,13 @@
 	return s.appends
 }
 
+// Reads returns how many reads were asked for.
+func (s *Stub) Reads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // Append implements platformlog.Log.
 func (s *Stub) Append(ctx context.Context, name platformlog.Stream, data []byte) (ids.Offset, error) {
 	if err := s.delay(ctx); err != nil {
@@ -101,6 +118,10 @@
 	if s.away {
 		return 0, ErrAway
 	}
+	if s.drop > 0 {
+		s.drop--
+		return 0, errorx.ExternalError.New("append was dropped")
+	}
 	st := s.stream(name)
 	at := st.first + ids.Offset(len(st.items))
 	st.items = append(st.items, platformlog.Item{At: at, Data: append([]byte(nil), data...)})
@@ -130,6 +151,9 @@
 
 // Read implements platformlog.Log.
 func (s *Stub) Read(ctx context.Context, name platformlog.Stream, from ids.Offset, limit int, wait time.Duration) (platformlog.Page, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
@@ -196,7 +220,7 @@
 		return
 	}
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), statusOf(err))
 		return
 	}
 	data, err := cbor.Marshal(result)
@@ -207,6 +231,14 @@
 	_, _ = w.Write(data)
 }
 
+// statusOf returns 503 only for calls that had no effect.
+func statusOf(err error) int {
+	if platformlog.Unappended(err) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusGatewayTimeout
+}
+
 func (s *Stub) serveAppend(r *http.Request, name platformlog.Stream) (any, error) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
--- /dev/null
+++ b/internal/platformlog/errors.go
@@ -0,0 +1,23 @@
+package platformlog
+
+import (
+	"errors"
+	"net"
+
+	"github.com/joomcode/errorx"
+)
+
+var namespace = errorx.NewNamespace("platformlog")
+
+// NotAppended is the type of errors after which the record is certainly not on
+// the log. After any other error of Append it may be.
+var NotAppended = namespace.NewType("not_appended")
+
+// Unappended reports whether err proves that the record is not on the log.
+func Unappended(err error) bool { return errorx.IsOfType(err, NotAppended) }
+
+// undialed reports whether the call failed before its connection stood.
+func undialed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/internal/platformlog/platformlog.go
+++ b/internal/platformlog/platformlog.go
@@ -6,7 +6,8 @@
 //	at, err := log.Append(ctx, platformlog.Settings, data)
 //	page, err := log.Read(ctx, platformlog.Settings, at, 100, time.Second)
 //
-// An append whose reply was lost may have taken effect: the caller looks for it
+// Offsets are contiguous. A status 503 says that the call had no effect. An
+// append whose reply was lost may have taken effect: the caller looks for it
 // in the log before it appends again.
 package platformlog
 
@@ -48,7 +49,8 @@
 
 // Log is what the daemon needs of the log service.
 type Log interface {
-	// Append adds a record and returns its offset.
+	// Append adds a record and returns its offset. After an error the record may
+	// be on the log, unless Unappended says that it is not.
 	Append(ctx context.Context, s Stream, data []byte) (ids.Offset, error)
 	// Read returns records from an offset on. It waits for a record when there
 	// is none yet.
@@ -101,6 +103,9 @@
 // do sends the request and decodes a CBOR answer.
 func (c *Client) do(req *http.Request, into any) error {
 	resp, err := c.HTTP.Do(req)
+	if err != nil && undialed(err) {
+		return NotAppended.Wrap(err, "connect to log service")
+	}
 	if err != nil {
 		return errorx.Decorate(err, "call log service")
 	}
@@ -109,6 +114,9 @@
 	if err != nil {
 		return errorx.Decorate(err, "read answer of log service")
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		return NotAppended.New("log service refused: %s", bytes.TrimSpace(body))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return errorx.ExternalError.New("log service answered %d: %s", resp.StatusCode, bytes.TrimSpace(body))
 	}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,121 @@
+// Package relay answers other daemons' questions for records and for the whole
+// state, so that few daemons read the log.
+//
+// # Usage
+//
+//	r, err := kernel.Find[*relay.Relay](f, "relay")
+//	records := r.Pull(ctx, message.Pull{From: 7, Wait: time.Second})
+//	piece, err := r.Fetch(message.Fetch{})
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	// maxWait bounds how long one Pull is held.
+	maxWait = 2 * time.Second
+	// frozenAge is how long a state is kept for the next part of a Fetch.
+	frozenAge = 30 * time.Second
+	// frozenReuse is the age up to which a new Fetch gets a state frozen before.
+	frozenReuse = 5 * time.Second
+)
+
+// Relay answers Pull and Fetch.
+type Relay struct {
+	Common *common.Common
+
+	tail *tail.Tail
+
+	mu     sync.Mutex
+	frozen *replay.Frozen
+	at     units.Instant
+	used   units.Instant
+}
+
+// Name implements service.Service.
+func (r *Relay) Name() service.Name { return "relay" }
+
+// Needs implements service.Service.
+func (r *Relay) Needs() []service.Name { return []service.Name{"timer", "tail"} }
+
+// Start implements service.Service.
+func (r *Relay) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if r.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	go r.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service.
+func (r *Relay) Stop(context.Context) error { return nil }
+
+// run lets go of a frozen state that nobody asks for any more.
+func (r *Relay) run(ctx context.Context) {
+	sub := r.Common.Clock.Every(frozenAge)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			r.release(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Relay) release(now units.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.used) >= frozenAge {
+		r.frozen = nil
+	}
+}
+
+// Pull answers with records, when there are any before the wait is over.
+func (r *Relay) Pull(ctx context.Context, m message.Pull) message.Message {
+	return r.tail.Await(ctx, m.From, min(max(m.Wait, 0), maxWait))
+}
+
+// Fetch answers with one part of the state.
+func (r *Relay) Fetch(m message.Fetch) (message.Message, error) {
+	f, err := r.state(m)
+	if err != nil {
+		return nil, err
+	}
+	part, ok := f.Part(m.Part)
+	if !ok {
+		return nil, errorx.IllegalArgument.New("the state as of %d has no part %d", f.As(), m.Part)
+	}
+	part.Maker = r.Common.Settings.Identity.Daemon
+	return message.Piece{Snapshot: part}, nil
+}
+
+// state returns the state that the asker began with, or a new one for part 0.
+func (r *Relay) state(m message.Fetch) (*replay.Frozen, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Common.Clock.Now()
+	r.used = now
+	if m.Part == 0 && (r.frozen == nil || now.Sub(r.at) > frozenReuse) {
+		r.frozen, r.at = r.tail.Freeze(), now
+	}
+	if r.frozen == nil || (m.Part > 0 && r.frozen.As() != m.As) {
+		return nil, errorx.IllegalState.New("the state as of %d is no longer held", m.As)
+	}
+	return r.frozen, nil
+}
--- /dev/null
+++ b/internal/tail/history.go
@@ -0,0 +1,47 @@
+package tail
+
+import (
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+)
+
+const (
+	// historyItems bounds the records kept for followers.
+	historyItems = 1024
+	// historyBytes bounds one answer.
+	historyBytes = 1 << 20
+)
+
+// history holds the newest records, so that followers need not read the log.
+type history struct {
+	first ids.Offset
+	items []message.Item
+}
+
+// reset drops all records; the next one is at the offset.
+func (h *history) reset(next ids.Offset) { h.first, h.items = next, nil }
+
+func (h *history) add(item message.Item) {
+	h.items = append(h.items, item)
+	if len(h.items) > historyItems {
+		h.items[0] = message.Item{}
+		h.items = h.items[1:]
+		h.first++
+	}
+}
+
+// from returns the records from an offset on, as many as one answer takes.
+func (h *history) from(at ids.Offset) []message.Item {
+	if at < h.first || at >= h.first+ids.Offset(len(h.items)) {
+		return nil
+	}
+	rest := h.items[at-h.first:]
+	size := 0
+	for i, item := range rest {
+		size += len(item.Data)
+		if i > 0 && size > historyBytes {
+			return rest[:i:i]
+		}
+	}
+	return rest[:len(rest):len(rest)]
+}
--- /dev/null
+++ b/internal/tail/readers.go
@@ -0,0 +1,55 @@
+package tail
+
+import (
+	"slices"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// readersPerCentre is how many daemons of a data centre read the log.
+	readersPerCentre = 2
+	// readersAge is how long the choice is kept, since it looks at all members.
+	readersAge = time.Second
+)
+
+// readers caches the daemons of this data centre that read the log.
+type readers struct {
+	list   []ids.Daemon
+	chosen units.Instant
+	known  bool
+}
+
+// readersAt returns the readers of this data centre in the order in which this
+// daemon asks them. Half of the daemons begin with each.
+func (t *Tail) readersAt(now units.Instant) []ids.Daemon {
+	if t.readers.known && now.Sub(t.readers.chosen) < readersAge {
+		return t.readers.list
+	}
+	own := t.Common.Settings.Identity
+	var near []ids.Daemon
+	for _, m := range t.directory.Members() {
+		if m.Centre == own.Centre && m.Incarnation != 0 && !m.Leaving && !m.Gone {
+			near = append(near, m.Daemon)
+		}
+	}
+	list := rendezvous.Top("readers of "+string(own.Centre), near, readersPerCentre)
+	first := rendezvous.Top(string(own.Daemon), list, 1)
+	slices.SortStableFunc(list, func(a, b ids.Daemon) int {
+		return rank(first, a) - rank(first, b)
+	})
+	t.sources.self = own.Daemon
+	t.readers = readers{list: list, chosen: now, known: true}
+	return list
+}
+
+// rank is 0 for a listed daemon and 1 for others.
+func rank(first []ids.Daemon, id ids.Daemon) int {
+	if slices.Contains(first, id) {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/tail/relay.go
@@ -0,0 +1,39 @@
+package tail
+
+import (
+	"context"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+)
+
+// Await waits until there are records from the offset on, or until the wait is
+// over, and returns them with the age of this daemon's evidence. It does not
+// wait when the evidence is out of date, so that the asker can look elsewhere.
+func (t *Tail) Await(ctx context.Context, from ids.Offset, wait time.Duration) message.Records {
+	received := t.Common.Clock.Now()
+	waitCtx, cancel := t.Common.Clock.Within(ctx, wait)
+	defer cancel()
+	_ = t.until(waitCtx, func() bool {
+		stale := !t.known || t.Common.Clock.Now().Sub(t.asked) > staleAfter
+		return stale || t.state.Offset() >= from || t.history.first > from
+	})
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return message.Records{
+		Items: t.history.from(from),
+		First: t.history.first,
+		Last:  t.state.Offset(),
+		Known: t.known,
+		Age:   received.Sub(t.asked),
+	}
+}
+
+// Freeze returns the whole state as of now.
+func (t *Tail) Freeze() *replay.Frozen {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.state.Freeze()
+}
--- a/internal/tail/tail.go
+++ b/internal/tail/tail.go
@@ -5,39 +5,41 @@
 //	t, err := kernel.Find[*tail.Tail](f, "tail")
 //	t.View(func(s *replay.State) { account, ok = s.Key(hash) })
 //	err = t.Wait(ctx, offset)
+//
+// Two daemons of each data centre read the log; the others ask one of these, and
+// read the log themselves when both fail or are out of date. When the log has
+// expired records that this daemon did not read, it first loads a snapshot, from
+// a peer or from the log.
 package tail
 
 import (
 	"context"
 	"sync"
-	"time"
-
-	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
-	"balsamwharf.example/balsamwharf/internal/record"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
-const (
-	pageLimit  = 512
-	readWait   = 500 * time.Millisecond
-	retryPause = 200 * time.Millisecond
-	readSlack  = time.Second
-)
-
 // Tail holds the state as of the last record read.
 type Tail struct {
 	Common *common.Common
 	Log    platformlog.Log
 
+	directory *directory.Directory
+	peers     peer.Caller
+	sources   sources
+	readers   readers
+
 	mu      sync.RWMutex
-	state   replay.State
+	state   *replay.State
+	history history
 	changed chan struct{}
 	// asked is when the newest question was sent whose answer showed that the
 	// state holds every record of the log.
@@ -50,10 +52,19 @@
 func (t *Tail) Name() service.Name { return "tail" }
 
 // Needs implements service.Service.
-func (t *Tail) Needs() []service.Name { return []service.Name{"timer"} }
+func (t *Tail) Needs() []service.Name { return []service.Name{"timer", "directory", "dial"} }
 
 // Start implements service.Service.
-func (t *Tail) Start(ctx context.Context, _ service.Finder) error {
+func (t *Tail) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if t.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if t.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	t.state = &replay.State{}
+	t.history.reset(1)
 	t.changed = make(chan struct{})
 	t.done = make(chan struct{})
 	go t.run(ctx)
@@ -67,14 +78,32 @@
 func (t *Tail) View(read func(*replay.State)) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	read(&t.state)
+	read(t.state)
+}
+
+// Offset returns the offset of the last record applied.
+func (t *Tail) Offset() ids.Offset {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.state.Offset()
 }
 
 // Wait returns once the state has reached the offset.
 func (t *Tail) Wait(ctx context.Context, at ids.Offset) error {
+	return t.until(ctx, func() bool { return t.state.Offset() >= at })
+}
+
+// Fresh returns once Asked is at or after the instant: the state then holds
+// every record that was on the log at that instant.
+func (t *Tail) Fresh(ctx context.Context, since units.Instant) error {
+	return t.until(ctx, func() bool { return t.known && !t.asked.Before(since) })
+}
+
+// until waits for a condition, which is checked under the lock after each change.
+func (t *Tail) until(ctx context.Context, holds func() bool) error {
 	for {
 		t.mu.RLock()
-		reached, changed := t.state.Offset() >= at, t.changed
+		reached, changed := holds(), t.changed
 		t.mu.RUnlock()
 		if reached {
 			return nil
@@ -88,58 +117,19 @@
 }
 
 // Asked returns when the newest question was sent whose answer showed that the
-// state holds every record of the log; it is false when there was none.
+// state holds every record of the log; it is false when there was none. Every
+// record that was on the log at that instant of this daemon's clock is in the
+// state. For an answer that came through a relay the instant is moved back by
+// the age of the relay's own evidence, so it is never later than the relay's
+// question to the log.
 func (t *Tail) Asked() (units.Instant, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return t.asked, t.known
 }
 
-// run reads the log until the kernel stops.
-func (t *Tail) run(ctx context.Context) {
-	defer close(t.done)
-	for ctx.Err() == nil {
-		if err := t.step(ctx); err != nil {
-			t.Common.Debug(event.LogAway, zap.Error(err))
-			_ = t.Common.Clock.Sleep(ctx, retryPause)
-		}
-	}
-}
-
-// step reads and applies one page.
-func (t *Tail) step(ctx context.Context) error {
-	ctx, cancel := t.Common.Clock.Within(ctx, readWait+readSlack)
-	defer cancel()
-	t.mu.RLock()
-	from := t.state.Offset() + 1
-	t.mu.RUnlock()
-	asked := t.Common.Clock.Now()
-	page, err := t.Log.Read(ctx, platformlog.Settings, from, pageLimit, readWait)
-	if err != nil {
-		return err
-	}
-	t.apply(asked, page)
-	return nil
-}
-
-func (t *Tail) apply(asked units.Instant, page platformlog.Page) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, item := range page.Items {
-		rec, err := record.Decode(item.Data)
-		if err != nil {
-			t.Common.Warn(event.RecordBad, zap.Uint64("offset", uint64(item.At)), zap.Error(err))
-			rec = record.Unreadable{}
-		}
-		before := t.state.Offset()
-		t.state.Apply(item.At, rec)
-		t.Common.Invariant.Check(t.state.Offset() >= before, "settings reverted")
-	}
-	if t.state.Offset() >= page.Last {
-		t.asked, t.known = asked, true
-	}
-	if len(page.Items) > 0 {
-		close(t.changed)
-		t.changed = make(chan struct{})
-	}
+// notify wakes all waiters; the caller holds the lock.
+func (t *Tail) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
 }
--- /dev/null
+++ b/internal/tail/tail_test.go
@@ -0,0 +1,269 @@
+package tail_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
+)
+
+const (
+	// inForce is the users' bound for an edit to be everywhere.
+	inForce = 4 * time.Second
+	// confirmation is how long evidence lets a daemon act.
+	confirmation = 2 * time.Second
+	outage       = 10 * time.Minute
+)
+
+// run runs a test in virtual time with a world of its own.
+func run(t *testing.T, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.stop()
+		test(t, w)
+	})
+}
+
+// Few daemons read the log, all follow it, and the rate of calls at rest does
+// not grow with their number.
+func TestReadsAtRest(t *testing.T) {
+	for _, daemons := range []int{3, 30, 150} {
+		run(t, func(t *testing.T, w *world) {
+			w.fill(t, "a", daemons)
+			at := w.edit(t, w.root(t)-1)
+			time.Sleep(inForce)
+			w.reach(t, at)
+			const span = 60
+			before, appends := w.log.Reads(), w.log.Appends()
+			time.Sleep(span * time.Second)
+			reads := float64(w.log.Reads()-before) / span
+			t.Logf("%d daemons in one centre: %.2f reads/s and %d appends in %d s", daemons, reads, w.log.Appends()-appends, span)
+			must.Less(t, 5, reads)
+			must.EqOp(t, appends, w.log.Appends())
+			for _, n := range w.nodes {
+				must.Less(t, confirmation, n.age(t))
+			}
+		})
+	}
+}
+
+// An outage of the log makes no burst of calls, during it or after it, and
+// edits are everywhere in time again.
+func TestOutageOfLog(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.fill(t, "a", 50)
+		w.fill(t, "b", 50)
+		at := w.root(t)
+		time.Sleep(inForce)
+		w.log.SetAway(true)
+		before := w.log.Reads()
+		time.Sleep(outage)
+		t.Logf("100 daemons, log away: %.2f reads/s", float64(w.log.Reads()-before)/outage.Seconds())
+		must.Less(t, 12*int(outage.Seconds()), w.log.Reads()-before)
+		w.log.SetAway(false)
+		before = w.log.Reads()
+		at = w.edit(t, at-1)
+		time.Sleep(inForce)
+		w.reach(t, at)
+		t.Logf("100 daemons, first %s after: %d reads", inForce, w.log.Reads()-before)
+		must.Less(t, 100, w.log.Reads()-before)
+	})
+}
+
+// Each way of losing a reader or the log leaves every daemon that can hear the
+// fleet up to date.
+func TestPartitions(t *testing.T) {
+	cuts := map[string]func(w *world){
+		"first reader can't read the log": func(w *world) { w.setCut("a-0", "log", true); w.setCut("a-1", "log", true) },
+		"nobody in one centre reads the log but one": func(w *world) {
+			for _, id := range []string{"a-0", "a-1", "a-2", "a-3", "a-4"} {
+				w.setCut(id, "log", true)
+			}
+		},
+		"daemons can't ask each other": func(w *world) {
+			for a := range w.nodes {
+				for b := range w.nodes {
+					w.setCut(string(a), string(b), true)
+				}
+			}
+		},
+		"answers of one daemon are lost": func(w *world) {
+			for a := range w.nodes {
+				w.setCut("a-2", string(a), true)
+			}
+		},
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, w *world) {
+				w.fill(t, "a", 6)
+				at := w.root(t)
+				time.Sleep(inForce)
+				cut(w)
+				time.Sleep(20 * time.Second)
+				for range 5 {
+					at = w.edit(t, at-1)
+					for range 40 {
+						time.Sleep(inForce / 40)
+						w.recent(t)
+					}
+				}
+				for id, n := range w.nodes {
+					if !w.isCut(string(id), "log") {
+						must.EqOp(t, at, n.tail.Offset(), must.Sprint(id))
+					}
+				}
+			})
+		})
+	}
+}
+
+// recent asserts that every daemon that hears the log has evidence to act on.
+func (w *world) recent(t *testing.T) {
+	t.Helper()
+	for id, n := range w.nodes {
+		if !w.isCut(string(id), "log") {
+			must.Less(t, confirmation, n.age(t), must.Sprint(id))
+		}
+	}
+}
+
+// Evidence that came through a relay is never younger than the relay's own
+// question, and it ages while the relay can't read the log.
+func TestStaleRelayIsNotRecent(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.fill(t, "a", 6)
+		w.root(t)
+		time.Sleep(inForce)
+		for id := range w.nodes {
+			w.setCut(string(id), "log", true)
+		}
+		cut := time.Now()
+		time.Sleep(10 * time.Second)
+		w.edit(t, 0)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range w.nodes {
+				must.GreaterEq(t, time.Since(cut), n.age(t), must.Sprint(n.id))
+			}
+		}
+	})
+}
+
+// A daemon that starts while the log is away gets the state from a peer; it has
+// no evidence until someone reads the log.
+func TestStartWhileLogIsAway(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.fill(t, "a", 3)
+		at := w.edit(t, w.root(t)-1)
+		time.Sleep(inForce)
+		w.log.SetAway(true)
+		time.Sleep(time.Minute)
+		n := w.add(t, "late", "b")
+		time.Sleep(inForce)
+		w.reach(t, at)
+		_, known := n.tail.Asked()
+		must.False(t, known)
+		w.log.SetAway(false)
+		time.Sleep(inForce)
+		must.Less(t, confirmation, n.age(t))
+	})
+}
+
+// snapshot appends the state of a node as two makers would, with records
+// between the state's offset and the snapshot.
+func snapshot(t *testing.T, w *world, n *node, base ids.Offset) ids.Offset {
+	t.Helper()
+	f := n.tail.Freeze()
+	at := w.edit(t, base)
+	for _, maker := range []ids.Daemon{"x", "y"} {
+		for i := range f.Parts() {
+			part, _ := f.Part(i)
+			part.Maker = maker
+			w.append(t, part)
+		}
+	}
+	return at
+}
+
+// A gap is never skipped: a daemon whose next record has expired loads a
+// snapshot, from the log when no peer answers, and applies what came after it.
+func TestExpiredRecords(t *testing.T) {
+	for _, peers := range []bool{true, false} {
+		run(t, func(t *testing.T, w *world) {
+			w.fill(t, "a", 3)
+			w.root(t)
+			at := ids.Offset(0)
+			for range 10 {
+				at = w.edit(t, at)
+			}
+			time.Sleep(inForce)
+			at = snapshot(t, w, w.nodes["a-0"], at)
+			at = w.edit(t, at)
+			w.log.Expire(platformlog.Settings, 4)
+			for id := range w.nodes {
+				w.setCut("late", string(id), !peers)
+			}
+			w.add(t, "late", "b")
+			time.Sleep(2 * inForce)
+			w.reach(t, at)
+		})
+	}
+}
+
+// Without any snapshot that reaches the gap the state stays as it is, and
+// nothing counts as recent.
+func TestGapWithoutSnapshot(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.root(t)
+		w.edit(t, 0)
+		w.log.Expire(platformlog.Settings, 1)
+		n := w.add(t, "late", "b")
+		time.Sleep(time.Minute)
+		must.Zero(t, n.tail.Offset())
+		_, known := n.tail.Asked()
+		must.False(t, known)
+	})
+}
+
+// A record that can't be read is passed over, by all daemons alike.
+func TestUnreadableRecord(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.fill(t, "a", 4)
+		w.root(t)
+		_, err := w.log.Append(t.Context(), platformlog.Settings, []byte("no record"))
+		must.NoError(t, err)
+		at := w.edit(t, 0)
+		time.Sleep(inForce)
+		w.reach(t, at)
+		w.nodes["a-0"].tail.View(func(s *replay.State) {
+			_, ok := s.Get(school)
+			must.True(t, ok)
+		})
+	})
+}
+
+// Followers hear of snapshots without their sections.
+func TestRelayedSnapshotIsLight(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		w.fill(t, "a", 5)
+		at := w.edit(t, w.root(t)-1)
+		time.Sleep(inForce)
+		snapshot(t, w, w.nodes["a-0"], at)
+		time.Sleep(inForce)
+		for _, n := range w.nodes {
+			r := n.tail.Await(t.Context(), at+2, 0)
+			must.SliceLen(t, 2, r.Items)
+			rec, err := record.Decode(r.Items[0].Data)
+			must.NoError(t, err)
+			must.SliceEmpty(t, rec.(record.Snapshot).Sections)
+			n.tail.View(func(s *replay.State) { must.EqOp(t, at, s.Taken().As) })
+		}
+	})
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -15,6 +15,10 @@
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
+	kindPiece    kind = "piece"
+	kindFetch    kind = "fetch"
+	kindRecords  kind = "records"
+	kindPull     kind = "pull"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -29,6 +33,14 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Piece:
+		return kindPiece, nil
+	case message.Fetch:
+		return kindFetch, nil
+	case message.Records:
+		return kindRecords, nil
+	case message.Pull:
+		return kindPull, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -46,6 +58,14 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindPiece:
+		return decodeAs[message.Piece](body)
+	case kindFetch:
+		return decodeAs[message.Fetch](body)
+	case kindRecords:
+		return decodeAs[message.Records](body)
+	case kindPull:
+		return decodeAs[message.Pull](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
