--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -31,8 +31,10 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/publish"
 	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/snapshot"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -76,6 +78,8 @@
 	a.kernel.Add(&directory.Directory{})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
 	a.kernel.Add(&relay.Relay{Common: c})
+	a.kernel.Add(&publish.Publish{Common: c, Log: a.Log})
+	a.kernel.Add(&snapshot.Snapshot{Common: c, Log: a.Log})
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
--- a/internal/event/state.go
+++ b/internal/event/state.go
@@ -9,4 +9,5 @@
 	SnapshotMade   = define(304, "snapshot", "The daemon has written all settings to the log again.")
 	SnapshotFailed = define(305, "unwritten", "A snapshot could not be written; another daemon or a later attempt makes it.")
 	LogBehind      = define(306, "behind", "An answer of the log ends before records that were read already; it is not used.")
+	AppendFailed   = define(307, "append", "The log service did not confirm an operator's edit; the daemon settles what became of it.")
 )
--- /dev/null
+++ b/internal/publish/result.go
@@ -0,0 +1,62 @@
+package publish
+
+import (
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/replay"
+)
+
+// Result is what became of an edit. The interface is sealed.
+type Result interface{ isResult() }
+
+// Accepted means that the section has the edit's values from Version on.
+type Accepted struct{ Version ids.Offset }
+
+// Conflict means that the section changed after the edit's base.
+type Conflict struct {
+	// Current is the section's present version, and Values its values that differ
+	// from the defaults.
+	Current ids.Offset
+	Values  map[string]string
+	// Removed is set when there is no section any more.
+	Removed bool
+}
+
+// Denied means that the credential does not cover the path.
+type Denied struct{ Reason string }
+
+// Invalid means that the values do not make a section.
+type Invalid struct {
+	Reason string
+	// Cause is a *settings.Error with section and name when a value is wrong; nil
+	// when the edit clashes with another section.
+	Cause error
+}
+
+// NotAccepted means that the log is away and that nothing was appended.
+type NotAccepted struct{ Reason string }
+
+// Unknown means that the edit may be on the log. A later Lookup tells.
+type Unknown struct{ Reason string }
+
+func (Accepted) isResult()    {}
+func (Conflict) isResult()    {}
+func (Denied) isResult()      {}
+func (Invalid) isResult()     {}
+func (NotAccepted) isResult() {}
+func (Unknown) isResult()     {}
+
+// resultOf translates what replay ruled.
+func resultOf(out replay.Outcome) Result {
+	switch o := out.(type) {
+	case replay.Accepted:
+		return Accepted{Version: o.Version}
+	case replay.Conflict:
+		return Conflict{Current: o.Current, Removed: o.Current == 0}
+	case replay.Denied:
+		return Denied{Reason: o.Reason}
+	case replay.Invalid:
+		return Invalid{Reason: o.Reason}
+	default:
+		return Unknown{Reason: "the record was not applied"}
+	}
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,195 @@
+// Package snapshot writes the whole settings to the log again before their
+// records expire.
+//
+// # Usage
+//
+//	k.Add(&snapshot.Snapshot{Common: c, Log: log})
+//
+// All daemons see from the log when a snapshot is due. Rendezvous hashing gives
+// a few of them a rank; each waits longer than the one before, and all others
+// wait longest. Two snapshots are harmless, and so is one whose maker stops half
+// way: it is never loaded.
+package snapshot
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	// checkPeriod is how often a daemon looks whether a snapshot is due.
+	checkPeriod = 10 * time.Second
+	// ranked is how many daemons have a turn of their own.
+	ranked = 8
+	// rankPause lies between the turns; a snapshot is written within one.
+	rankPause = 30 * time.Second
+	// othersPause spreads the daemons without a rank.
+	othersPause = 10 * time.Minute
+	// freshAge is the greatest age of the evidence for a state to be written.
+	freshAge = 2 * time.Second
+	// partPause keeps a snapshot to 20 appends a second.
+	partPause = 50 * time.Millisecond
+	// appendTimeout bounds the append of one part.
+	appendTimeout = 2 * time.Second
+	// defaultRetention holds where the settings name none.
+	defaultRetention = 24 * time.Hour
+)
+
+// Snapshot writes snapshots when it is this daemon's turn.
+type Snapshot struct {
+	Common *common.Common
+	Log    platformlog.Log
+
+	tail      *tail.Tail
+	directory *directory.Directory
+	turn      turn
+}
+
+// turn is when this daemon may write the snapshot that is due now.
+type turn struct {
+	after ids.Offset
+	at    units.Instant
+	set   bool
+}
+
+// Name implements service.Service.
+func (s *Snapshot) Name() service.Name { return "snapshot" }
+
+// Needs implements service.Service.
+func (s *Snapshot) Needs() []service.Name { return []service.Name{"timer", "tail", "directory"} }
+
+// Start implements service.Service.
+func (s *Snapshot) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if s.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	go s.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service. The task ends with the kernel's context; a
+// snapshot that it was writing stays incomplete.
+func (s *Snapshot) Stop(context.Context) error { return nil }
+
+func (s *Snapshot) run(ctx context.Context) {
+	sub := s.Common.Clock.Every(checkPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			s.check(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// check writes a snapshot when one is due and the turn has come.
+func (s *Snapshot) check(ctx context.Context, now units.Instant) {
+	taken, isDue := s.look()
+	// The turns are counted from when the log is back; otherwise those of all
+	// daemons would have come at the end of an outage.
+	if !isDue || !s.fresh(now) {
+		s.turn = turn{}
+		return
+	}
+	if !s.turn.set || s.turn.after != taken.As {
+		s.turn = turn{after: taken.As, at: now.Add(s.pause(taken.As)), set: true}
+	}
+	if now.Before(s.turn.at) {
+		return
+	}
+	s.turn.at = now.Add(othersPause/2 + rand.N(othersPause))
+	if err := s.write(ctx); err != nil {
+		s.Common.Warn(event.SnapshotFailed, zap.Error(err))
+	}
+}
+
+func (s *Snapshot) look() (replay.Taken, bool) {
+	retention := s.Common.Settings.Platform.Retention
+	if retention <= 0 {
+		retention = defaultRetention
+	}
+	var taken replay.Taken
+	var isDue bool
+	s.tail.View(func(state *replay.State) {
+		taken = state.Taken()
+		isDue = due(state.Offset(), taken, s.Common.Clock.Wall(), retention)
+	})
+	return taken, isDue
+}
+
+// pause returns how long this daemon leaves the snapshot to others.
+func (s *Snapshot) pause(after ids.Offset) time.Duration {
+	var all []ids.Daemon
+	for _, m := range s.directory.Members() {
+		if m.Incarnation != 0 && !m.Leaving && !m.Gone {
+			all = append(all, m.Daemon)
+		}
+	}
+	top := rendezvous.Top("snapshot after "+strconv.FormatUint(uint64(after), 10), all, ranked)
+	if i := slices.Index(top, s.Common.Settings.Identity.Daemon); i >= 0 {
+		return time.Duration(i) * rankPause
+	}
+	return ranked*rankPause + rand.N(othersPause)
+}
+
+// fresh reports whether the state holds all records of the last moments.
+func (s *Snapshot) fresh(now units.Instant) bool {
+	asked, known := s.tail.Asked()
+	return known && now.Sub(asked) < freshAge
+}
+
+// write appends all parts of the present state, last one last.
+func (s *Snapshot) write(ctx context.Context) error {
+	frozen := s.tail.Freeze()
+	made := s.Common.Clock.Wall().UTC().Truncate(time.Second)
+	for i := range frozen.Parts() {
+		part, _ := frozen.Part(i)
+		part.Maker = s.Common.Settings.Identity.Daemon
+		part.Logged, part.Made = frozen.As(), made
+		if err := s.append(ctx, part); err != nil {
+			return err
+		}
+		if err := s.Common.Clock.Sleep(ctx, partPause); err != nil {
+			return err
+		}
+	}
+	s.Common.Info(event.SnapshotMade, zap.Uint64("offset", uint64(frozen.As())), zap.Int("parts", frozen.Parts()))
+	return nil
+}
+
+// append appends one part. A part whose reply is lost may be on the log; the
+// snapshot is given up all the same, because an incomplete one is harmless.
+func (s *Snapshot) append(ctx context.Context, part record.Snapshot) error {
+	data, err := record.Encode(part)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.Common.Clock.Within(ctx, appendTimeout)
+	defer cancel()
+	_, err = s.Log.Append(ctx, platformlog.Settings, data)
+	return err
+}
--- a/internal/tail/follow.go
+++ b/internal/tail/follow.go
@@ -22,6 +22,9 @@
 	pageLimit = 32
 	readWait  = 500 * time.Millisecond
 	pullWait  = 600 * time.Millisecond
+	// stepPause bounds the rate of questions to a source that answers at once
+	// although it has nothing new.
+	stepPause = 50 * time.Millisecond
 	// pullSlack is the time for a relay's answer beyond its wait, and readSlack
 	// that for the log's when the settings name none.
 	pullSlack = 400 * time.Millisecond
@@ -55,11 +58,15 @@
 			_ = t.Common.Clock.Sleep(ctx, wait)
 			continue
 		}
+		before := t.Offset()
 		err := t.step(ctx, from)
 		t.sources.report(t.Common.Clock.Now(), from, err, rand.Float64())
 		if err != nil {
 			t.Common.Debug(event.LogAway, zap.Error(err))
 		}
+		if t.Offset() == before && t.Common.Clock.Now().Sub(now) < stepPause {
+			_ = t.Common.Clock.Sleep(ctx, stepPause)
+		}
 	}
 }
 
--- a/internal/tail/tail.go
+++ b/internal/tail/tail.go
@@ -93,10 +93,19 @@
 	return t.until(ctx, func() bool { return t.state.Offset() >= at })
 }
 
-// Fresh returns once Asked is at or after the instant: the state then holds
-// every record that was on the log at that instant.
+// Fresh returns once Asked is later than the instant: the state then holds every
+// record that was on the log at that instant.
 func (t *Tail) Fresh(ctx context.Context, since units.Instant) error {
-	return t.until(ctx, func() bool { return t.known && !t.asked.Before(since) })
+	return t.until(ctx, func() bool { return t.known && since.Before(t.asked) })
+}
+
+// Settle returns once the edit is known, or once the state holds every record
+// that was on the log at the instant.
+func (t *Tail) Settle(ctx context.Context, id ids.Edit, since units.Instant) error {
+	return t.until(ctx, func() bool {
+		_, found := t.state.Outcome(id)
+		return found || (t.known && since.Before(t.asked))
+	})
 }
 
 // until waits for a condition, which is checked under the lock after each change.
--- a/internal/tail/tail_test.go
+++ b/internal/tail/tail_test.go
@@ -1,6 +1,7 @@
 package tail_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/logstub"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/record"
 	"balsamwharf.example/balsamwharf/internal/replay"
@@ -267,3 +269,21 @@
 		}
 	})
 }
+
+// hasty is a log that never waits for a record.
+type hasty struct{ *logstub.Stub }
+
+func (h hasty) Read(ctx context.Context, s platformlog.Stream, from ids.Offset, limit int, _ time.Duration) (platformlog.Page, error) {
+	return h.Stub.Read(ctx, s, from, limit, 0)
+}
+
+// A log service that does not hold a question is not asked without a pause.
+func TestNoSpin(t *testing.T) {
+	run(t, func(t *testing.T, w *world) {
+		n := w.node("a-0", "a")
+		n.tail.Log = hasty{&w.log}
+		w.start(t, n)
+		time.Sleep(10 * time.Second)
+		must.LessEq(t, 10*20+1, w.log.Reads())
+	})
+}
--- a/internal/tail/world_test.go
+++ b/internal/tail/world_test.go
@@ -62,25 +62,36 @@
 // add starts a daemon that knows all others.
 func (w *world) add(t *testing.T, id ids.Daemon, centre ids.Centre) *node {
 	t.Helper()
+	n := w.node(id, centre)
+	w.start(t, n)
+	return n
+}
+
+// node prepares a daemon.
+func (w *world) node(id ids.Daemon, centre ids.Centre) *node {
 	c := common.Discard()
 	c.Settings.Identity.Daemon, c.Settings.Identity.Centre = id, centre
 	n := &node{w: w, id: id, centre: centre, directory: &directory.Directory{}, relay: &relay.Relay{Common: c}}
 	n.tail = &tail.Tail{Common: c, Log: n}
+	return n
+}
+
+func (w *world) start(t *testing.T, n *node) {
+	t.Helper()
 	for _, a := range w.nodes {
 		n.directory.Put(member.Member{Daemon: a.id, Incarnation: 1, Centre: a.centre})
 	}
-	n.directory.Put(member.Member{Daemon: id, Incarnation: 1, Centre: centre})
-	for _, s := range []service.Service{c.Clock, n.directory, n, n.tail, n.relay} {
+	n.directory.Put(member.Member{Daemon: n.id, Incarnation: 1, Centre: n.centre})
+	for _, s := range []service.Service{n.tail.Common.Clock, n.directory, n, n.tail, n.relay} {
 		n.kernel.Add(s)
 	}
 	must.NoError(t, n.kernel.Start(t.Context()))
 	for _, a := range w.nodes {
-		a.directory.Put(member.Member{Daemon: id, Incarnation: 1, Centre: centre})
+		a.directory.Put(member.Member{Daemon: n.id, Incarnation: 1, Centre: n.centre})
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.nodes[id] = n
-	return n
+	w.nodes[n.id] = n
 }
 
 func (w *world) fill(t *testing.T, centre ids.Centre, count int) {
