--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -142,15 +142,15 @@
 			return
 		}
 		result = resultOf(out)
-		if c, ok := result.(Conflict); ok {
-			result = describe(c, s, e.Path)
+		if _, ok := result.(Conflict); ok {
+			result = describe(s, e.Path)
 		}
 	})
 	return result
 }
 
-// describe adds what stands at the path now.
-func describe(c Conflict, s *replay.State, path ids.Path) Conflict {
+// describe tells what stands at the path now.
+func describe(s *replay.State, path ids.Path) Conflict {
 	entry, ok := s.Get(path)
 	if !ok {
 		return Conflict{Removed: true}
@@ -224,8 +224,8 @@
 // find looks the edit up and describes a conflict.
 func (p *Publish) find(e record.Edit) (Receipt, bool) {
 	r, ok := p.Lookup(e.ID)
-	if c, conflict := r.Result.(Conflict); conflict {
-		p.tail.View(func(s *replay.State) { r.Result = describe(c, s, e.Path) })
+	if _, conflict := r.Result.(Conflict); conflict {
+		p.tail.View(func(s *replay.State) { r.Result = describe(s, e.Path) })
 	}
 	return r, ok
 }
--- a/internal/publish/publish_test.go
+++ b/internal/publish/publish_test.go
@@ -205,7 +205,7 @@
 // Of operators who race on one section exactly one is accepted for each version,
 // whatever daemon they use and whatever replies are lost.
 func TestRacingOperators(t *testing.T) {
-	scenario(t, func(t *testing.T, log *logstub.Stub, p *publish.Publish) {
+	scenario(t, func(t *testing.T, log *logstub.Stub, _ *publish.Publish) {
 		const operators = 8
 		log.SetSlow(20 * time.Millisecond)
 		log.LoseReplies(3)
