--- a/internal/app/view.go
+++ b/internal/app/view.go
@@ -4,8 +4,10 @@
 	"context"
 
 	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -38,3 +40,12 @@
 
 // Invariant returns the counts of the daemon's assertions.
 func (a *App) Invariant() *invariant.Invariant { return a.common.Invariant }
+
+// Own returns what the daemon tells the fleet about itself.
+func (a *App) Own() member.Member {
+	g, err := kernel.Find[*gossip.Gossip](&a.kernel, "gossip")
+	if err != nil {
+		return member.Member{}
+	}
+	return g.Own()
+}
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -165,9 +165,9 @@
 	if err != nil {
 		return nil, errorx.Decorate(err, "address of %s", to)
 	}
-	ctx, cancel := d.Common.Clock.Within(ctx, handshakeTimeout)
-	defer cancel()
-	return d.transport.Dial(ctx, addr, d.Certs.Client(to), &quic.Config{
+	// The connection outlives the request that opened it, and QUIC ends a
+	// connection together with the context that it was dialed with.
+	return d.transport.Dial(context.WithoutCancel(ctx), addr, d.Certs.Client(to), &quic.Config{
 		MaxIdleTimeout:       lossTimeout,
 		HandshakeIdleTimeout: handshakeTimeout,
 	})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -106,7 +106,7 @@
 	if r.ProtoMajor == 1 {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	body := &tracked{ReadCloser: r.Body}
+	body := newTracked(r)
 	defer body.release(w)
 	answer, err := f.entry.Serve(r.Context(), arrival, body)
 	if err != nil {
--- a/internal/front/tracked.go
+++ b/internal/front/tracked.go
@@ -13,6 +13,13 @@
 	ended atomic.Bool
 }
 
+// newTracked returns the request's body; an empty one has ended already.
+func newTracked(r *http.Request) *tracked {
+	t := &tracked{ReadCloser: r.Body}
+	t.ended.Store(r.ContentLength == 0)
+	return t
+}
+
 // Read implements io.Reader.
 func (t *tracked) Read(p []byte) (int, error) {
 	n, err := t.ReadCloser.Read(p)
