Spread membership over a ring of peers and find lost daemons

Cause: each daemon sent all members to three others twice a second, which grows with the fleet, and nothing noticed a daemon that was lost. Now a daemon speaks to those 1, 2, 4, ... places after it on a hash ring, sends changes only, compares digests per data centre, and tells a doubt about a peer that neither it nor three others reach.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -72,7 +72,7 @@
 	}
 	a.common = c
 	a.kernel.Add(clock)
-	a.kernel.Add(&directory.Directory{})
+	a.kernel.Add(&directory.Directory{Clock: clock})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
--- a/internal/confirm/confirm.go
+++ b/internal/confirm/confirm.go
@@ -75,7 +75,7 @@
 // until rosters are records of the log.
 func (c *Confirm) Roster() roster.Roster {
 	var r roster.Roster
-	for _, m := range c.directory.Members() {
+	for _, m := range c.directory.Reachable() {
 		if m.Gone || m.Leaving || m.Incarnation == 0 {
 			continue
 		}
--- /dev/null
+++ b/internal/digest/digest.go
@@ -0,0 +1,58 @@
+// Package digest sums up what a daemon knows of each data centre, so that two
+// daemons find out cheaply whether they know the same.
+//
+// # Usage
+//
+//	d := digest.Of(members)
+//	for _, centre := range d.Differ(other) { ... }
+package digest
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+)
+
+// Digest holds one sum for each data centre.
+type Digest map[ids.Centre]uint64
+
+// Of returns the digest of the members' versions. The order does not matter.
+func Of(members []member.Member) Digest {
+	d := Digest{}
+	for _, m := range members {
+		d[m.Centre] ^= sum(m)
+	}
+	return d
+}
+
+func sum(m member.Member) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	_, _ = h.WriteString(string(m.Daemon))
+	var numbers [16]byte
+	binary.BigEndian.PutUint64(numbers[:8], uint64(m.Incarnation))
+	binary.BigEndian.PutUint64(numbers[8:], m.Version)
+	_, _ = h.Write(numbers[:])
+	return h.Sum64()
+}
+
+// Differ returns the data centres for which the digests differ, in order.
+func (d Digest) Differ(other Digest) []ids.Centre {
+	var list []ids.Centre
+	for c, s := range d {
+		if other[c] != s {
+			list = append(list, c)
+		}
+	}
+	for c := range other {
+		if _, ok := d[c]; !ok {
+			list = append(list, c)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -15,14 +15,35 @@
 
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/timer"
+	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
 // Directory holds the members of the fleet. The zero value is empty.
 type Directory struct {
+	// Clock stamps what arrives; nil leaves the stamps at zero.
+	Clock *timer.Timer
+
 	mu        sync.RWMutex
-	members   map[ids.Daemon]member.Member
-	byService map[ids.Service][]Candidate
+	members   map[ids.Daemon]known
+	buried    map[ids.Daemon]grave
+	byService map[ids.Service]list
+}
+
+// known is a member as this daemon sees it.
+type known struct {
+	member.Member
+	seen units.Instant
+	// lost is set while the daemon can't be reached by its peers.
+	lost      bool
+	lostSince units.Instant
+}
+
+// list holds a service's targets that take new work.
+type list struct {
+	reachable []Candidate
+	lost      []Candidate
 }
 
 // Candidate is a target with the daemon that keeps its gate.
@@ -30,6 +51,8 @@
 	Daemon ids.Daemon
 	Centre ids.Centre
 	Region ids.Region
+	// Seen is when this daemon learned of the target's present state.
+	Seen units.Instant
 	member.Target
 }
 
@@ -45,86 +68,149 @@
 // Stop implements service.Service.
 func (d *Directory) Stop(context.Context) error { return nil }
 
+func (d *Directory) now() units.Instant {
+	if d.Clock == nil {
+		return 0
+	}
+	return d.Clock.Now()
+}
+
 // Put stores m unless a newer description is known. It reports whether m was new.
+// A newer description ends the daemon's being lost: only a daemon that is reached
+// learns that it has to renew its description.
 func (d *Directory) Put(m member.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, known := d.members[m.Daemon]
-	if known && !old.Precedes(m) {
+	old, ok := d.members[m.Daemon]
+	if ok && !old.Precedes(m) {
 		return false
 	}
+	if g, ok := d.buried[m.Daemon]; ok && !g.age.Precedes(m.Age()) {
+		return false
+	}
+	delete(d.buried, m.Daemon)
 	if d.members == nil {
-		d.members = map[ids.Daemon]member.Member{}
-		d.byService = map[ids.Service][]Candidate{}
+		d.members = map[ids.Daemon]known{}
+		d.byService = map[ids.Service]list{}
 	}
 	d.unindex(old)
-	d.members[m.Daemon] = m
-	d.index(m)
+	k := known{Member: m, seen: d.now()}
+	d.members[m.Daemon] = k
+	d.index(k)
 	return true
 }
 
-// Forget removes a daemon that is known to be gone.
-func (d *Directory) Forget(id ids.Daemon) {
+// SetLost notes that the daemon can't be reached by its peers. It reports whether
+// that is news.
+func (d *Directory) SetLost(id ids.Daemon) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unindex(d.members[id])
-	delete(d.members, id)
+	k, ok := d.members[id]
+	if !ok || k.lost {
+		return false
+	}
+	d.unindex(k)
+	k.lost, k.lostSince = true, d.now()
+	d.members[id] = k
+	d.index(k)
+	return true
+}
+
+// Lost reports whether the daemon can't be reached by its peers.
+func (d *Directory) Lost(id ids.Daemon) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.members[id].lost
 }
 
 // Member returns one daemon's description.
 func (d *Directory) Member(id ids.Daemon) (member.Member, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	m, ok := d.members[id]
-	return m, ok
+	k, ok := d.members[id]
+	return k.Member, ok
 }
 
 // Members returns all daemons in order of their names.
 func (d *Directory) Members() []member.Member {
+	return d.where(func(known) bool { return true })
+}
+
+// Reachable returns the daemons that are neither gone nor lost, in order.
+func (d *Directory) Reachable() []member.Member {
+	return d.where(func(k known) bool { return !k.Gone && !k.lost })
+}
+
+// Missing returns the daemons that are lost, in order.
+func (d *Directory) Missing() []member.Member {
+	return d.where(func(k known) bool { return !k.Gone && k.lost })
+}
+
+func (d *Directory) where(keep func(known) bool) []member.Member {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	all := make([]member.Member, 0, len(d.members))
-	for _, m := range d.members {
-		all = append(all, m)
+	for _, k := range d.members {
+		if keep(k) {
+			all = append(all, k.Member)
+		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Daemon < all[j].Daemon })
 	return all
 }
 
-// Targets returns the targets of a service that take new work. The caller must
-// not change the slice.
+// Targets returns the targets of a service that take new work. Those of lost
+// daemons come only when there are no others. The caller must not change the
+// slice.
 func (d *Directory) Targets(id ids.Service) []Candidate {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.byService[id]
+	l := d.byService[id]
+	if len(l.reachable) == 0 {
+		return l.lost
+	}
+	return l.reachable
 }
 
 // index adds the member's targets to fresh slices, because readers keep the old.
-func (d *Directory) index(m member.Member) {
-	if m.Leaving || m.Gone {
+func (d *Directory) index(k known) {
+	if k.Leaving || k.Gone {
 		return
 	}
-	for _, t := range m.Targets {
+	for _, t := range k.Targets {
 		if t.Leaving || t.Ejected {
 			continue
 		}
-		list := slices.Clone(d.byService[t.Service])
-		d.byService[t.Service] = append(list, Candidate{Daemon: m.Daemon, Centre: m.Centre, Region: m.Region, Target: t})
+		c := Candidate{Daemon: k.Daemon, Centre: k.Centre, Region: k.Region, Seen: k.seen, Target: t}
+		l := d.byService[t.Service]
+		if k.lost {
+			l.lost = append(slices.Clone(l.lost), c)
+		} else {
+			l.reachable = append(slices.Clone(l.reachable), c)
+		}
+		d.byService[t.Service] = l
 	}
 }
 
-func (d *Directory) unindex(m member.Member) {
-	for _, t := range m.Targets {
-		var rest []Candidate
-		for _, c := range d.byService[t.Service] {
-			if c.Daemon != m.Daemon {
-				rest = append(rest, c)
-			}
-		}
-		if len(rest) == 0 {
+func (d *Directory) unindex(k known) {
+	for _, t := range k.Targets {
+		l := d.byService[t.Service]
+		l.reachable = without(l.reachable, k.Daemon)
+		l.lost = without(l.lost, k.Daemon)
+		if len(l.reachable)+len(l.lost) == 0 {
 			delete(d.byService, t.Service)
 			continue
 		}
-		d.byService[t.Service] = rest
+		d.byService[t.Service] = l
+	}
+}
+
+func without(list []Candidate, id ids.Daemon) []Candidate {
+	var rest []Candidate
+	for _, c := range list {
+		if c.Daemon != id {
+			rest = append(rest, c)
+		}
 	}
+	return rest
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -58,10 +58,12 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -190,19 +191,25 @@
 
 // Close stops everything.
 func (f *Fleet) Close() {
+	var wg sync.WaitGroup
 	for _, d := range f.Daemons {
-		if d.App != nil {
-			_ = d.App.Stop()
-		}
-		if d.backend != nil {
-			d.backend.CloseClientConnections()
-			d.backend.Close()
-		}
+		wg.Go(d.close)
 	}
+	wg.Wait()
 	f.server.CloseClientConnections()
 	f.server.Close()
 }
 
+func (d *Daemon) close() {
+	if d.App != nil {
+		_ = d.App.Stop()
+	}
+	if d.backend != nil {
+		d.backend.CloseClientConnections()
+		d.backend.Close()
+	}
+}
+
 // Edit publishes a section and waits until every daemon has applied it.
 func (f *Fleet) Edit(path ids.Path, values map[string]string) error {
 	base := ids.Offset(0)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,9 +1,15 @@
-// Package gossip spreads what daemons say of themselves.
+// Package gossip spreads what daemons say of themselves and finds out which
+// daemons can't be reached.
 //
 // # Usage
 //
 //	g.Update(func(m *member.Member) { m.Leaving = true })
-//	reply := g.Hear(message.Announce{Members: members})
+//	reply := g.Hear(message.Announce{...})
+//
+// A daemon keeps one task for each peer on the ring (package ring). The task
+// sends news at once and a probe in each period. A peer that does not answer is
+// tried through others; when they fail too, the doubt is told to all, and the
+// daemon in doubt renews its description if it is alive.
 package gossip
 
 import (
@@ -13,20 +19,29 @@
 	"sync"
 	"time"
 
+	"balsamwharf.example/balsamwharf/internal/changes"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/doubt"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
-	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
 const (
-	period      = 500 * time.Millisecond
-	callTimeout = 400 * time.Millisecond
-	fanout      = 3
+	// nearPeriod is the time between probes of the nearest peers, which watch over
+	// each other.
+	nearPeriod = time.Second
+	// farPeriod is the time between probes of other peers and between comparisons.
+	farPeriod = 5 * time.Second
+	// nearPeers is how many daemons watch over one.
+	nearPeers = 3
+	// newsDelay collects news before it is sent on.
+	newsDelay = 50 * time.Millisecond
+	// callTimeout is the time in which a peer must answer.
+	callTimeout = 800 * time.Millisecond
 )
 
 // Gossip keeps this daemon's own description and exchanges those of others.
@@ -36,8 +51,20 @@
 	directory *directory.Directory
 	peers     peer.Caller
 
-	mu  sync.Mutex
-	own member.Member
+	mu     sync.Mutex
+	own    member.Member
+	news   changes.Changes[ids.Daemon]
+	tasks  map[ids.Daemon]*task
+	doubts map[ids.Daemon]*doubted
+	rng    *rand.Rand
+	// joined wakes the arrangement of tasks when a member is new.
+	joined chan struct{}
+}
+
+// doubted is a daemon in doubt, as of one of its descriptions.
+type doubted struct {
+	age member.Age
+	doubt.Doubt
 }
 
 // Name implements service.Service.
@@ -55,25 +82,48 @@
 	if g.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
 		return err
 	}
+	g.tasks = map[ids.Daemon]*task{}
+	g.doubts = map[ids.Daemon]*doubted{}
+	g.joined = make(chan struct{}, 1)
 	set := g.Common.Settings
+	started := uint64(g.Common.Clock.Wall().UnixNano())
+	g.rng = rand.New(rand.NewPCG(started, uint64(len(set.Identity.Daemon))))
 	g.Update(func(m *member.Member) {
 		m.Daemon = set.Identity.Daemon
 		m.Centre = set.Identity.Centre
 		m.Region = set.Identity.Region
 		m.Peers = set.Listen.Peers
 		m.Operators = set.Listen.Operators
-		m.Incarnation = ids.Incarnation(g.Common.Clock.Wall().UnixNano())
+		m.Incarnation = ids.Incarnation(started)
 	})
-	for _, seed := range set.Peers.Seeds {
-		name, addr, _ := strings.Cut(seed, "@")
-		g.directory.Put(member.Member{Daemon: ids.Daemon(name), Peers: ids.Address(addr)})
-	}
+	g.addSeeds()
 	go g.run(ctx)
 	return nil
 }
 
-// Stop implements service.Service.
-func (g *Gossip) Stop(context.Context) error { return nil }
+// addSeeds enters the seeds with incarnation zero, which any word of theirs
+// replaces.
+func (g *Gossip) addSeeds() {
+	for _, s := range g.Common.Settings.Peers.Seeds {
+		name, addr, _ := strings.Cut(s, "@")
+		if ids.Daemon(name) != g.self() {
+			g.directory.Put(member.Member{Daemon: ids.Daemon(name), Peers: ids.Address(addr)})
+		}
+	}
+}
+
+func (g *Gossip) self() ids.Daemon { return g.Common.Settings.Identity.Daemon }
+
+// Stop tells the peers that this daemon is gone.
+func (g *Gossip) Stop(ctx context.Context) error {
+	g.Update(func(m *member.Member) { m.Leaving, m.Gone = true, true })
+	var wg sync.WaitGroup
+	for _, t := range g.allTasks() {
+		wg.Go(func() { t.farewell(ctx) })
+	}
+	wg.Wait()
+	return nil
+}
 
 // Update changes this daemon's own description.
 func (g *Gossip) Update(change func(*member.Member)) {
@@ -81,9 +131,23 @@
 	defer g.mu.Unlock()
 	change(&g.own)
 	g.own.Version++
+	g.publish()
+}
+
+// publish stores the own description and wakes the peers' tasks. The lock is held.
+func (g *Gossip) publish() {
 	copied := g.own
 	copied.Targets = append([]member.Target(nil), g.own.Targets...)
 	g.directory.Put(copied)
+	g.tell(g.own.Daemon)
+}
+
+// tell notes news of a daemon. The lock is held.
+func (g *Gossip) tell(id ids.Daemon) {
+	g.news.Add(id)
+	for _, t := range g.tasks {
+		t.wake()
+	}
 }
 
 // Own returns this daemon's own description.
@@ -93,60 +157,21 @@
 	return g.own
 }
 
-// Hear stores what another daemon says and returns what this one knows better.
-func (g *Gossip) Hear(a message.Announce) message.Noted {
-	known := map[ids.Daemon]member.Member{}
-	for _, m := range a.Members {
-		known[m.Daemon] = m
-		if m.Daemon != g.Common.Settings.Identity.Daemon {
-			g.directory.Put(m)
-		}
-	}
-	var better []member.Member
-	for _, m := range g.directory.Members() {
-		if known[m.Daemon].Precedes(m) {
-			better = append(better, m)
-		}
-	}
-	return message.Noted{Members: better}
-}
-
-// run exchanges descriptions with a few daemons in each period.
+// run keeps a task for each peer on the ring and follows doubts to their end.
 func (g *Gossip) run(ctx context.Context) {
-	sub := g.Common.Clock.Every(period)
+	sub := g.Common.Clock.Every(nearPeriod)
 	defer sub.Stop()
 	for {
-		g.round(ctx)
+		g.arrange(ctx)
+		g.settle()
+		g.directory.Bury(g.Common.Clock.Now())
+		g.seekLost(ctx)
 		select {
 		case <-sub.C:
+		case <-g.joined:
+			_ = g.Common.Clock.Sleep(ctx, newsDelay)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
-
-func (g *Gossip) round(ctx context.Context) {
-	members := g.directory.Members()
-	var wg sync.WaitGroup
-	for _, i := range rand.Perm(len(members))[:min(fanout, len(members))] {
-		if members[i].Daemon == g.Common.Settings.Identity.Daemon {
-			continue
-		}
-		wg.Go(func() { g.exchange(ctx, members[i].Daemon, members) })
-	}
-	wg.Wait()
-}
-
-func (g *Gossip) exchange(ctx context.Context, to ids.Daemon, members []member.Member) {
-	ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
-	defer cancel()
-	reply, err := g.peers.Call(ctx, to, message.Announce{Members: members})
-	if err != nil {
-		return
-	}
-	if noted, ok := reply.(message.Noted); ok {
-		for _, m := range noted.Members {
-			g.directory.Put(m)
-		}
-	}
-}
--- /dev/null
+++ b/internal/gossip/hear.go
@@ -0,0 +1,159 @@
+package gossip
+
+import (
+	"balsamwharf.example/balsamwharf/internal/digest"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+)
+
+// maxNews bounds how many members one message carries.
+const maxNews = 256
+
+// announcement returns the news since the cursor and the next cursor.
+func (g *Gossip) announcement(cursor uint64) (message.Announce, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	names, next, _ := g.news.Since(cursor)
+	if len(names) > maxNews {
+		names = names[len(names)-maxNews:] // the comparison of digests brings the rest
+	}
+	var a message.Announce
+	for _, id := range names {
+		if m, ok := g.directory.Member(id); ok {
+			a.Members = append(a.Members, m)
+		}
+		if d, ok := g.doubts[id]; ok && d.Raised() {
+			a.Doubts = append(a.Doubts, d.age)
+		}
+	}
+	return a, next
+}
+
+// Hear takes another daemon's news and answers with what it asked for.
+func (g *Gossip) Hear(a message.Announce) message.Noted {
+	g.learn(a.Members, a.Doubts)
+	reply := message.Noted{Doubts: g.outdated(a.Members)}
+	for _, id := range a.Ask {
+		if m, ok := g.directory.Member(id); ok && m.Incarnation != 0 {
+			reply.Members = append(reply.Members, m)
+		}
+	}
+	if a.Digest == nil {
+		return reply
+	}
+	if differ := g.digest().Differ(a.Digest); len(differ) > 0 {
+		reply.Centre = differ[g.pick(len(differ))]
+		for _, m := range g.inCentre(reply.Centre) {
+			reply.Ages = append(reply.Ages, m.Age())
+		}
+	}
+	return reply
+}
+
+// take stores what a peer answered.
+func (g *Gossip) take(n message.Noted) { g.learn(n.Members, n.Doubts) }
+
+// learn stores news and passes on what is new.
+func (g *Gossip) learn(members []member.Member, doubts []member.Age) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range members {
+		if m.Daemon == g.self() {
+			g.outlive(m.Age())
+			continue
+		}
+		if m.Incarnation != 0 && g.directory.Put(m) {
+			delete(g.doubts, m.Daemon)
+			g.tell(m.Daemon)
+			g.rearrange()
+		}
+	}
+	for _, a := range doubts {
+		g.hearDoubt(a)
+	}
+}
+
+// rearrange makes run look at the ring soon.
+func (g *Gossip) rearrange() {
+	select {
+	case g.joined <- struct{}{}:
+	default:
+	}
+}
+
+// outlive renews the own description when others hold one that is as new and not
+// the same process's, as after a restart with a clock that went back. The lock is
+// held.
+func (g *Gossip) outlive(a member.Age) {
+	if !g.own.Age().Precedes(a) {
+		return
+	}
+	g.own.Incarnation = a.Incarnation + 1
+	g.own.Version++
+	g.publish()
+}
+
+// outdated returns doubts about members that the other side believes in and this
+// one has forgotten. A sender that is in doubt is not told here: a daemon that can
+// send but can't be reached must not be able to end the doubt.
+func (g *Gossip) outdated(members []member.Member) []member.Age {
+	var list []member.Age
+	for _, m := range members {
+		if g.directory.Buried(m.Age()) {
+			list = append(list, m.Age())
+		}
+	}
+	return list
+}
+
+// compare returns what the peer needs and what this daemon needs, from the ages
+// that the peer knows in one data centre.
+func (g *Gossip) compare(n message.Noted) message.Announce {
+	theirs := map[ids.Daemon]member.Age{}
+	for _, a := range n.Ages {
+		theirs[a.Daemon] = a
+	}
+	var a message.Announce
+	for _, m := range g.inCentre(n.Centre) {
+		if theirs[m.Daemon].Precedes(m.Age()) && len(a.Members) < maxNews {
+			a.Members = append(a.Members, m)
+		}
+	}
+	for id, age := range theirs {
+		own, _ := g.directory.Member(id)
+		if own.Age().Precedes(age) && !g.directory.Buried(age) && len(a.Ask) < maxNews {
+			a.Ask = append(a.Ask, id)
+		}
+	}
+	return a
+}
+
+func (g *Gossip) digest() digest.Digest { return digest.Of(g.described()) }
+
+// described returns the members that have described themselves.
+func (g *Gossip) described() []member.Member {
+	var list []member.Member
+	for _, m := range g.directory.Members() {
+		if m.Incarnation != 0 {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (g *Gossip) inCentre(c ids.Centre) []member.Member {
+	var list []member.Member
+	for _, m := range g.described() {
+		if m.Centre == c {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (g *Gossip) pick(n int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rng.IntN(n)
+}
--- /dev/null
+++ b/internal/gossip/suspect.go
@@ -0,0 +1,150 @@
+package gossip
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+)
+
+// helpers is how many daemons try a peer that did not answer.
+const helpers = 3
+
+// missed is called when a peer did not answer: the way to it may be cut in one
+// direction only, so others try before there is a doubt.
+func (g *Gossip) missed(ctx context.Context, id ids.Daemon) {
+	if ctx.Err() != nil || g.reachedByOthers(ctx, id) {
+		return
+	}
+	m, ok := g.directory.Member(id)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.raise(m.Age())
+}
+
+func (g *Gossip) reachedByOthers(ctx context.Context, id ids.Daemon) bool {
+	ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
+	defer cancel()
+	var reached atomic.Bool
+	var wg sync.WaitGroup
+	for _, h := range g.others(id, helpers) {
+		wg.Go(func() {
+			reply, err := g.peers.Call(ctx, h, message.Probe{Daemon: id})
+			if p, ok := reply.(message.Probed); err == nil && ok && p.Reached {
+				reached.Store(true)
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	return reached.Load()
+}
+
+// others returns up to n random reachable daemons besides this one and id.
+func (g *Gossip) others(id ids.Daemon, n int) []ids.Daemon {
+	members := g.directory.Reachable()
+	g.mu.Lock()
+	order := g.rng.Perm(len(members))
+	g.mu.Unlock()
+	var list []ids.Daemon
+	for _, i := range order {
+		d := members[i].Daemon
+		if d == id || d == g.self() {
+			continue
+		}
+		if list = append(list, d); len(list) == n {
+			break
+		}
+	}
+	return list
+}
+
+// Try answers a Probe: it reports whether this daemon reaches another.
+func (g *Gossip) Try(ctx context.Context, p message.Probe) message.Probed {
+	ctx, cancel := g.Common.Clock.Within(ctx, callTimeout/2)
+	defer cancel()
+	_, err := g.peers.Call(ctx, p.Daemon, message.Announce{})
+	return message.Probed{Reached: err == nil}
+}
+
+// hearDoubt takes a doubt that another daemon told. The lock is held.
+func (g *Gossip) hearDoubt(a member.Age) {
+	if a.Daemon == g.self() {
+		g.refute(a)
+		return
+	}
+	g.raise(a)
+}
+
+// refute renews the own description, which ends the doubt everywhere. The lock is
+// held.
+func (g *Gossip) refute(a member.Age) {
+	if a.Precedes(g.own.Age()) {
+		return
+	}
+	g.own.Incarnation = max(g.own.Incarnation, a.Incarnation)
+	g.own.Version = a.Version + 1
+	g.publish()
+}
+
+// raise begins a doubt unless a newer description is known. The lock is held.
+func (g *Gossip) raise(a member.Age) {
+	m, ok := g.directory.Member(a.Daemon)
+	if !ok || a.Precedes(m.Age()) || m.Gone {
+		return
+	}
+	d, ok := g.doubts[a.Daemon]
+	if ok && d.Raised() && !d.age.Precedes(a) {
+		return
+	}
+	d = &doubted{age: a}
+	d.Missed(g.Common.Clock.Now())
+	g.doubts[a.Daemon] = d
+	g.tell(a.Daemon)
+}
+
+// settle marks the daemons as lost that did not end the doubt in time.
+func (g *Gossip) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Common.Clock.Now()
+	for id, d := range g.doubts {
+		m, ok := g.directory.Member(id)
+		if !ok || d.age.Precedes(m.Age()) {
+			delete(g.doubts, id)
+			continue
+		}
+		if d.Lost(now) && g.directory.SetLost(id) {
+			g.Common.Info(event.DaemonLost, zap.String("peer", string(id)))
+		}
+	}
+}
+
+// seekLost tells one lost daemon about the doubt, so that it shows itself when the
+// network is whole again. A daemon that reaches nobody turns to its seeds.
+func (g *Gossip) seekLost(ctx context.Context) {
+	missing := g.directory.Missing()
+	if len(missing) == 0 {
+		return
+	}
+	m := missing[g.pick(len(missing))]
+	go func() {
+		ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
+		defer cancel()
+		own := g.Own()
+		a := message.Announce{Members: []member.Member{own}, Doubts: []member.Age{m.Age()}}
+		reply, err := g.peers.Call(ctx, m.Daemon, a)
+		if noted, ok := reply.(message.Noted); err == nil && ok {
+			g.take(noted)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/gossip/task.go
@@ -0,0 +1,158 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/ring"
+)
+
+// task is the conversation with one peer.
+type task struct {
+	gossip *Gossip
+	to     ids.Daemon
+	period time.Duration
+	news   chan struct{}
+	cancel context.CancelFunc
+	// cursor is up to where the peer has been told the news.
+	cursor uint64
+}
+
+// wake makes the task send news soon.
+func (t *task) wake() {
+	select {
+	case t.news <- struct{}{}:
+	default:
+	}
+}
+
+// arrange starts tasks for new peers and ends those of daemons that are no longer
+// peers.
+func (g *Gossip) arrange(ctx context.Context) {
+	var all []ids.Daemon
+	for _, m := range g.directory.Reachable() {
+		all = append(all, m.Daemon)
+	}
+	peers := ring.New(all).Peers(g.self())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wanted := map[ids.Daemon]bool{}
+	for i, id := range peers {
+		wanted[id] = true
+		period := farPeriod
+		if i < nearPeers {
+			period = nearPeriod
+		}
+		g.ensure(ctx, id, period)
+	}
+	for id, t := range g.tasks {
+		if !wanted[id] {
+			t.cancel()
+			delete(g.tasks, id)
+		}
+	}
+}
+
+// ensure starts the task of a peer unless it runs with the period already.
+func (g *Gossip) ensure(ctx context.Context, id ids.Daemon, period time.Duration) {
+	if t, ok := g.tasks[id]; ok {
+		if t.period == period {
+			return
+		}
+		t.cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	t := &task{gossip: g, to: id, period: period, news: make(chan struct{}, 1), cancel: cancel}
+	g.tasks[id] = t
+	go t.run(ctx)
+}
+
+func (g *Gossip) allTasks() []*task {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []*task
+	for _, t := range g.tasks {
+		all = append(all, t)
+	}
+	return all
+}
+
+// run speaks to the peer until it is no longer one. The first exchange compares
+// what both know; later ones carry news and, from time to time, compare again.
+func (t *task) run(ctx context.Context) {
+	g := t.gossip
+	compareDue := true
+	compared := g.Common.Clock.Now()
+	sub := g.Common.Clock.Every(t.period)
+	defer sub.Stop()
+	for {
+		if compareDue {
+			t.reconcile(ctx)
+			compared = g.Common.Clock.Now()
+		} else {
+			t.exchange(ctx)
+		}
+		select {
+		case <-sub.C:
+		case <-t.news:
+			_ = g.Common.Clock.Sleep(ctx, newsDelay)
+		case <-ctx.Done():
+			return
+		}
+		compareDue = g.Common.Clock.Now().Sub(compared) >= farPeriod
+	}
+}
+
+// exchange sends the news and hears the peer's.
+func (t *task) exchange(ctx context.Context) {
+	a, next := t.gossip.announcement(t.cursor)
+	reply, err := t.call(ctx, a)
+	if err != nil {
+		t.gossip.missed(ctx, t.to)
+		return
+	}
+	t.cursor = next
+	t.gossip.take(reply)
+}
+
+// reconcile compares digests until they agree, one data centre at a time.
+func (t *task) reconcile(ctx context.Context) {
+	a, next := t.gossip.announcement(t.cursor)
+	const maxSteps = 64
+	for range maxSteps {
+		a.Digest = t.gossip.digest()
+		reply, err := t.call(ctx, a)
+		if err != nil {
+			t.gossip.missed(ctx, t.to)
+			return
+		}
+		t.cursor = next
+		t.gossip.take(reply)
+		if reply.Centre == "" {
+			return
+		}
+		a = t.gossip.compare(reply)
+		if len(a.Members) == 0 && len(a.Ask) == 0 {
+			return
+		}
+	}
+}
+
+func (t *task) call(ctx context.Context, a message.Announce) (message.Noted, error) {
+	ctx, cancel := t.gossip.Common.Clock.Within(ctx, callTimeout)
+	defer cancel()
+	reply, err := t.gossip.peers.Call(ctx, t.to, a)
+	if err != nil {
+		return message.Noted{}, err
+	}
+	noted, _ := reply.(message.Noted)
+	return noted, nil
+}
+
+// farewell tells the peer that this daemon is gone.
+func (t *task) farewell(ctx context.Context) {
+	_, _ = t.call(ctx, message.Announce{Members: []member.Member{t.gossip.Own()}})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -17,38 +17,53 @@
 // Member is what a daemon says of itself. A higher incarnation, and within it a
 // higher version, replaces a lower one; nothing reverts.
 type Member struct {
-	Daemon      ids.Daemon
-	Incarnation ids.Incarnation
-	Version     uint64
-	Peers       ids.Address
-	Operators   ids.Address
-	Centre      ids.Centre
-	Region      ids.Region
+	Daemon      ids.Daemon      `cbor:"1,keyasint"`
+	Incarnation ids.Incarnation `cbor:"2,keyasint"`
+	Version     uint64          `cbor:"3,keyasint"`
+	Peers       ids.Address     `cbor:"4,keyasint"`
+	Operators   ids.Address     `cbor:"5,keyasint,omitempty"`
+	Centre      ids.Centre      `cbor:"6,keyasint"`
+	Region      ids.Region      `cbor:"7,keyasint"`
 	// Leaving is set when the daemon finishes its work and takes no more.
-	Leaving bool
+	Leaving bool `cbor:"8,keyasint,omitempty"`
 	// Gone is set when the daemon has left for good.
-	Gone    bool
-	Targets []Target
+	Gone    bool     `cbor:"9,keyasint,omitempty"`
+	Targets []Target `cbor:"10,keyasint,omitempty"`
 }
 
 // Target is a backend server behind a member.
 type Target struct {
-	ID      ids.Target
-	Service ids.Service
-	Slots   units.Slots
+	ID      ids.Target  `cbor:"1,keyasint"`
+	Service ids.Service `cbor:"2,keyasint"`
+	Slots   units.Slots `cbor:"3,keyasint"`
 	// Cold is how long the target needs to warm up from Age zero.
-	Cold time.Duration
-	Age  time.Duration
+	Cold time.Duration `cbor:"4,keyasint,omitempty"`
+	Age  time.Duration `cbor:"5,keyasint,omitempty"`
 	// Leaving is set while the target drains.
-	Leaving bool
+	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Ejected is set while the gatekeeper keeps it out of use.
-	Ejected bool
+	Ejected bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Precedes reports whether other is newer than m.
-func (m Member) Precedes(other Member) bool {
-	if m.Incarnation != other.Incarnation {
-		return m.Incarnation < other.Incarnation
+// Age orders the descriptions of one daemon.
+type Age struct {
+	Daemon      ids.Daemon      `cbor:"1,keyasint"`
+	Incarnation ids.Incarnation `cbor:"2,keyasint"`
+	Version     uint64          `cbor:"3,keyasint"`
+}
+
+// Age returns the place of m among the descriptions of its daemon.
+func (m Member) Age() Age {
+	return Age{Daemon: m.Daemon, Incarnation: m.Incarnation, Version: m.Version}
+}
+
+// Precedes reports whether other is newer than a.
+func (a Age) Precedes(other Age) bool {
+	if a.Incarnation != other.Incarnation {
+		return a.Incarnation < other.Incarnation
 	}
-	return m.Version < other.Version
+	return a.Version < other.Version
 }
+
+// Precedes reports whether other is newer than m.
+func (m Member) Precedes(other Member) bool { return m.Age().Precedes(other.Age()) }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -15,6 +15,8 @@
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
+	kindProbe    kind = "probe"
+	kindProbed   kind = "probed"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -29,6 +31,10 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Probe:
+		return kindProbe, nil
+	case message.Probed:
+		return kindProbed, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -46,6 +52,10 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindProbe:
+		return decodeAs[message.Probe](body)
+	case kindProbed:
+		return decodeAs[message.Probed](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
