--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo test format lint unit race
+.PHONY: all build demo test format lint generate unit race
 
 all: build
 
@@ -13,7 +13,7 @@
 	$(GO) run ./cmd/balsamdemo $(ARGS)
 
 # Everything that must hold before a change lands.
-test: format lint unit race
+test: format lint generate unit race
 
 format:
 	@out=$$($(GO) tool gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted by gofumpt:"; echo "$$out"; exit 1; fi
@@ -22,6 +22,10 @@
 	$(GO) vet ./...
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
+# Generated files must be current.
+generate:
+	$(GO) run ./cmd/balsamdocs --check
+
 unit:
 	$(GO) test ./...
 
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,77 @@
+// Package metric is the catalogue of what a daemon measures about itself.
+//
+// # Usage
+//
+//	metric.Requests.Counter(common.Metrics).Inc(1)
+//	metric.Queued.Gauge(common.Metrics).Update(n)
+//
+// docs/METRICS.md is generated from this catalogue.
+package metric
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Metric is the name of one metric.
+type Metric string
+
+// entry describes one metric for the catalogue.
+type entry struct {
+	unit string
+	text string
+}
+
+var catalogue = map[Metric]entry{}
+
+// define adds a metric to the catalogue. A name used twice is a programming error
+// that every test run shows.
+func define(name, unit, text string) Metric {
+	m := Metric(name)
+	if _, ok := catalogue[m]; ok {
+		panic(fmt.Sprintf("metric %s is defined twice", name))
+	}
+	catalogue[m] = entry{unit: unit, text: text}
+	return m
+}
+
+// Unit returns the unit of the metric's values.
+func (m Metric) Unit() string { return catalogue[m].unit }
+
+// Text returns the metric's description for operators.
+func (m Metric) Text() string { return catalogue[m].text }
+
+// Counter returns the metric as a counter of the registry.
+func (m Metric) Counter(r metrics.Registry) metrics.Counter {
+	return metrics.GetOrRegisterCounter(string(m), r)
+}
+
+// Gauge returns the metric as a gauge of the registry.
+func (m Metric) Gauge(r metrics.Registry) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(string(m), r)
+}
+
+// sampleSize and sampleDecay keep about the last five minutes of values.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
+// Histogram returns the metric as a histogram of the registry.
+func (m Metric) Histogram(r metrics.Registry) metrics.Histogram {
+	return r.GetOrRegister(string(m), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	}).(metrics.Histogram)
+}
+
+// All returns every metric in order of name.
+func All() []Metric {
+	all := make([]Metric, 0, len(catalogue))
+	for m := range catalogue {
+		all = append(all, m)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
+	return all
+}
