--- /dev/null
+++ b/internal/burn/burn.go
@@ -0,0 +1,164 @@
+// Package burn follows how fast services spend their error budget, and on whose
+// requests.
+//
+// # Usage
+//
+//	b.Note(burn.Event{Service: s, Account: a, Target: t, Good: false})
+//	tally := b.Tally()                       // this daemon's counts
+//	report := burn.Report(tallies, objectives) // over several daemons
+package burn
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/window"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Windows are the spans over which burn rates are computed, shortest first.
+var Windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour}
+
+// maxSpenders bounds how many client accounts and targets are followed.
+const maxSpenders = 4096
+
+// Burn counts good and bad requests of this daemon.
+type Burn struct {
+	Common *common.Common
+
+	mu       sync.Mutex
+	services map[ids.Service]*window.Window
+	accounts map[accountOf]*window.Window
+	targets  map[targetOf]*window.Window
+}
+
+type accountOf struct {
+	service ids.Service
+	account ids.Account
+}
+
+type targetOf struct {
+	service ids.Service
+	target  ids.Target
+}
+
+// Event is one request that ended. A request counts as bad when it failed through
+// no fault of its caller, or took longer than the service's latency objective.
+type Event struct {
+	Service ids.Service
+	Account ids.Account
+	Target  ids.Target
+	Good    bool
+}
+
+// Name implements service.Service.
+func (b *Burn) Name() service.Name { return "burn" }
+
+// Needs implements service.Service.
+func (b *Burn) Needs() []service.Name { return []service.Name{"timer"} }
+
+// Start implements service.Service.
+func (b *Burn) Start(context.Context, service.Finder) error { return nil }
+
+// Stop implements service.Service.
+func (b *Burn) Stop(context.Context) error { return nil }
+
+// Note counts one request. Accounts and targets are followed from their first bad
+// request on, since only those spend the budget.
+func (b *Burn) Note(e Event) {
+	now := b.Common.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services == nil {
+		b.services = map[ids.Service]*window.Window{}
+		b.accounts = map[accountOf]*window.Window{}
+		b.targets = map[targetOf]*window.Window{}
+	}
+	open(b.services, e.Service, true).Add(now, e.Good)
+	if w := open(b.accounts, accountOf{e.Service, e.Account}, !e.Good); w != nil {
+		w.Add(now, e.Good)
+	}
+	if w := open(b.targets, targetOf{e.Service, e.Target}, !e.Good); w != nil {
+		w.Add(now, e.Good)
+	}
+}
+
+// open returns the window of k and makes one when that is asked for and there is
+// room.
+func open[K comparable](m map[K]*window.Window, k K, create bool) *window.Window {
+	w, ok := m[k]
+	if ok || !create || len(m) >= maxSpenders {
+		return w
+	}
+	w = &window.Window{}
+	m[k] = w
+	return w
+}
+
+// Tally is one daemon's counts over the Windows.
+type Tally struct {
+	Services []ServiceCount `cbor:"1,keyasint,omitempty"`
+	Accounts []AccountCount `cbor:"2,keyasint,omitempty"`
+	Targets  []TargetCount  `cbor:"3,keyasint,omitempty"`
+}
+
+// ServiceCount is the counts of one service over the Windows, and per minute over
+// the last hour.
+type ServiceCount struct {
+	Service ids.Service    `cbor:"1,keyasint"`
+	Counts  []window.Count `cbor:"2,keyasint"`
+	Series  []window.Count `cbor:"3,keyasint,omitempty"`
+}
+
+// AccountCount is the counts of one client account at one service.
+type AccountCount struct {
+	Service ids.Service    `cbor:"1,keyasint"`
+	Account ids.Account    `cbor:"2,keyasint"`
+	Counts  []window.Count `cbor:"3,keyasint"`
+}
+
+// TargetCount is the counts of one target.
+type TargetCount struct {
+	Service ids.Service    `cbor:"1,keyasint"`
+	Target  ids.Target     `cbor:"2,keyasint"`
+	Counts  []window.Count `cbor:"3,keyasint"`
+}
+
+// Tally returns this daemon's counts and forgets accounts and targets that spent
+// nothing lately.
+func (b *Burn) Tally() Tally {
+	now := b.Common.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var t Tally
+	counts := func(w *window.Window) []window.Count {
+		var list []window.Count
+		for _, span := range Windows {
+			list = append(list, w.Last(now, span))
+		}
+		return list
+	}
+	for id, w := range b.services {
+		t.Services = append(t.Services, ServiceCount{Service: id, Counts: counts(w), Series: w.Series(now)})
+	}
+	for k, w := range b.accounts {
+		c := counts(w)
+		if c[len(c)-1].Bad == 0 {
+			delete(b.accounts, k)
+			continue
+		}
+		t.Accounts = append(t.Accounts, AccountCount{Service: k.service, Account: k.account, Counts: c})
+	}
+	for k, w := range b.targets {
+		c := counts(w)
+		if c[len(c)-1].Bad == 0 {
+			delete(b.targets, k)
+			continue
+		}
+		t.Targets = append(t.Targets, TargetCount{Service: k.service, Target: k.target, Counts: c})
+	}
+	return t
+}
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,46 @@
+package burn_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/burn"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+func TestReport(t *testing.T) {
+	objectives := map[ids.Service]burn.Objective{"a/pay": {Share: 99}}
+	cases := []struct {
+		name  string
+		bad   int
+		alarm burn.Alarm
+		rate  float64
+	}{
+		{"nothing failed", 0, burn.Quiet, 0},
+		{"as much as allowed", 10, burn.Ticket, 1},
+		{"a fifth failed", 200, burn.Page, 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			// Two daemons see half of the requests each.
+			var tallies []burn.Tally
+			for range 2 {
+				b := &burn.Burn{Common: common.Discard()}
+				for i := range 500 {
+					b.Note(burn.Event{Service: "a/pay", Account: "a/school", Target: "pay-1", Good: i >= c.bad/2})
+				}
+				tallies = append(tallies, b.Tally())
+			}
+			lines := burn.Report(tallies, objectives)
+			must.Len(t, 1, lines)
+			must.EqOp(t, c.alarm, lines[0].Alarm)
+			must.InDelta(t, c.rate, lines[0].Windows[0].Rate, 1e-9)
+			if c.bad > 0 {
+				must.EqOp(t, "a/school", lines[0].Accounts[0].Name)
+				must.InDelta(t, 1, lines[0].Targets[0].Share, 1e-9)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/burn/report.go
@@ -0,0 +1,168 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/internal/window"
+)
+
+// Alarm says how urgent a service's burn is.
+type Alarm string
+
+// The alarms, most urgent first.
+const (
+	// Page means that the budget of 30 days would be spent in about two days.
+	Page Alarm = "page"
+	// Ticket means that the budget would not last for its 30 days.
+	Ticket Alarm = "ticket"
+	Quiet  Alarm = "quiet"
+)
+
+// Burn rates from which an alarm is raised; both of its windows must be over, so
+// that it ends soon after the fault does.
+const (
+	pageRate   = 14.4
+	ticketRate = 1.0
+)
+
+// topSpenders is how many client accounts and targets a report names.
+const topSpenders = 5
+
+// Objective is what a service promises.
+type Objective struct {
+	Share   units.Percent
+	Latency time.Duration
+}
+
+// Line is one service in a report.
+type Line struct {
+	Service   ids.Service    `json:"service"`
+	Objective units.Percent  `json:"objective"`
+	Alarm     Alarm          `json:"alarm"`
+	Windows   []WindowLine   `json:"windows"`
+	Accounts  []Spender      `json:"accounts"`
+	Targets   []Spender      `json:"targets"`
+	Series    []window.Count `json:"series"`
+}
+
+// WindowLine is a service's burn over one window. A rate of 1 spends the budget
+// exactly within its 30 days.
+type WindowLine struct {
+	Span string  `json:"span"`
+	Good uint64  `json:"good"`
+	Bad  uint64  `json:"bad"`
+	Rate float64 `json:"rate"`
+}
+
+// Spender is a client account or a target with its share of the bad requests of
+// the longest window.
+type Spender struct {
+	Name  string  `json:"name"`
+	Bad   uint64  `json:"bad"`
+	Share float64 `json:"share"`
+}
+
+// Report adds up the daemons' counts. Services without an objective are left out.
+func Report(tallies []Tally, objectives map[ids.Service]Objective) []Line {
+	services := map[ids.Service][]window.Count{}
+	series := map[ids.Service][]window.Count{}
+	accounts := map[ids.Service]map[string]uint64{}
+	targets := map[ids.Service]map[string]uint64{}
+	for _, t := range tallies {
+		for _, s := range t.Services {
+			services[s.Service] = addAll(services[s.Service], s.Counts)
+			series[s.Service] = addAll(series[s.Service], s.Series)
+		}
+		for _, a := range t.Accounts {
+			spend(accounts, a.Service, string(a.Account), a.Counts)
+		}
+		for _, x := range t.Targets {
+			spend(targets, x.Service, string(x.Target), x.Counts)
+		}
+	}
+	var lines []Line
+	for id, counts := range services {
+		objective, ok := objectives[id]
+		if !ok || len(counts) != len(Windows) {
+			continue
+		}
+		bad := counts[len(counts)-1].Bad
+		line := lineOf(id, objective, counts)
+		line.Accounts = top(accounts[id], bad)
+		line.Targets = top(targets[id], bad)
+		line.Series = series[id]
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return cmp.Compare(a.Service, b.Service) })
+	return lines
+}
+
+func addAll(sum, more []window.Count) []window.Count {
+	if sum == nil {
+		return slices.Clone(more)
+	}
+	for i := range min(len(sum), len(more)) {
+		sum[i] = sum[i].Plus(more[i])
+	}
+	return sum
+}
+
+func spend(m map[ids.Service]map[string]uint64, id ids.Service, name string, counts []window.Count) {
+	if len(counts) == 0 {
+		return
+	}
+	if m[id] == nil {
+		m[id] = map[string]uint64{}
+	}
+	m[id][name] += counts[len(counts)-1].Bad
+}
+
+func lineOf(id ids.Service, o Objective, counts []window.Count) Line {
+	line := Line{Service: id, Objective: o.Share}
+	var rates []float64
+	for i, c := range counts {
+		rate := rateOf(c, o)
+		rates = append(rates, rate)
+		line.Windows = append(line.Windows, WindowLine{Span: Windows[i].String(), Good: c.Good, Bad: c.Bad, Rate: rate})
+	}
+	line.Alarm = alarm(rates)
+	return line
+}
+
+// rateOf returns how many times faster than allowed the budget is spent.
+func rateOf(c window.Count, o Objective) float64 {
+	budget := (100 - float64(o.Share)) / 100
+	if budget <= 0 {
+		return 0
+	}
+	return c.BadShare() / budget
+}
+
+// alarm judges by a short and a long window together.
+func alarm(rates []float64) Alarm {
+	switch {
+	case rates[0] >= pageRate && rates[1] >= pageRate:
+		return Page
+	case rates[2] >= ticketRate && rates[3] >= ticketRate:
+		return Ticket
+	default:
+		return Quiet
+	}
+}
+
+func top(bad map[string]uint64, total uint64) []Spender {
+	var list []Spender
+	for name, n := range bad {
+		if n > 0 {
+			list = append(list, Spender{Name: name, Bad: n, Share: float64(n) / float64(max(total, 1))})
+		}
+	}
+	slices.SortFunc(list, func(a, b Spender) int {
+		return cmp.Or(cmp.Compare(b.Bad, a.Bad), cmp.Compare(a.Name, b.Name))
+	})
+	return list[:min(topSpenders, len(list))]
+}
