--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -17,6 +17,10 @@
 	kindNoted    kind = "noted"
 	kindProbe    kind = "probe"
 	kindProbed   kind = "probed"
+	kindPiece    kind = "piece"
+	kindFetch    kind = "fetch"
+	kindRecords  kind = "records"
+	kindPull     kind = "pull"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -35,6 +39,14 @@
 		return kindProbe, nil
 	case message.Probed:
 		return kindProbed, nil
+	case message.Piece:
+		return kindPiece, nil
+	case message.Fetch:
+		return kindFetch, nil
+	case message.Records:
+		return kindRecords, nil
+	case message.Pull:
+		return kindPull, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -56,6 +68,14 @@
 		return decodeAs[message.Probe](body)
 	case kindProbed:
 		return decodeAs[message.Probed](body)
+	case kindPiece:
+		return decodeAs[message.Piece](body)
+	case kindFetch:
+		return decodeAs[message.Fetch](body)
+	case kindRecords:
+		return decodeAs[message.Records](body)
+	case kindPull:
+		return decodeAs[message.Pull](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
