--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -75,7 +75,7 @@
 	}
 	a.common = c
 	a.kernel.Add(clock)
-	a.kernel.Add(&directory.Directory{})
+	a.kernel.Add(&directory.Directory{Clock: clock})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
 	a.kernel.Add(&relay.Relay{Common: c})
 	a.kernel.Add(&publish.Publish{Common: c, Log: a.Log})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
 		return d.relay.Pull(ctx, m), nil
 	case message.Fetch:
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -15,6 +15,8 @@
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
+	kindProbe    kind = "probe"
+	kindProbed   kind = "probed"
 	kindPiece    kind = "piece"
 	kindFetch    kind = "fetch"
 	kindRecords  kind = "records"
@@ -33,6 +35,10 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Probe:
+		return kindProbe, nil
+	case message.Probed:
+		return kindProbed, nil
 	case message.Piece:
 		return kindPiece, nil
 	case message.Fetch:
@@ -58,6 +64,10 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindProbe:
+		return decodeAs[message.Probe](body)
+	case kindProbed:
+		return decodeAs[message.Probed](body)
 	case kindPiece:
 		return decodeAs[message.Piece](body)
 	case kindFetch:
