--- a/internal/replay/frozen.go
+++ b/internal/replay/frozen.go
@@ -38,6 +38,16 @@
 // As returns the offset of the state.
 func (f *Frozen) As() ids.Offset { return f.head.As }
 
+// Version returns the version of the section at the path; zero when there is none.
+func (f *Frozen) Version(path ids.Path) ids.Offset {
+	for _, p := range f.places {
+		if p.path == path {
+			return p.entry.Version
+		}
+	}
+	return 0
+}
+
 // Parts returns the number of parts.
 func (f *Frozen) Parts() int {
 	return max(1, (len(f.places)+record.PartSections-1)/record.PartSections)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -144,7 +144,7 @@
 // pause returns how long this daemon leaves the snapshot to others.
 func (s *Snapshot) pause(after ids.Offset) time.Duration {
 	var all []ids.Daemon
-	for _, m := range s.directory.Members() {
+	for _, m := range s.directory.Reachable() {
 		if m.Incarnation != 0 && !m.Leaving && !m.Gone {
 			all = append(all, m.Daemon)
 		}
--- a/internal/tail/bridge.go
+++ b/internal/tail/bridge.go
@@ -103,7 +103,7 @@
 func (t *Tail) fetchOrder() []ids.Daemon {
 	own := t.Common.Settings.Identity
 	var near, far []ids.Daemon
-	members := t.directory.Members()
+	members := t.directory.Reachable()
 	for _, i := range rand.Perm(len(members)) {
 		m := members[i]
 		switch {
--- /dev/null
+++ b/internal/tail/random_test.go
@@ -0,0 +1,174 @@
+package tail_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/record"
+)
+
+// schedule is a random run with its own record of what stood on the log when.
+type schedule struct {
+	*world
+	random *rand.Rand
+	// appended holds the time of each append; the record at offset i+1 is at i.
+	appended []time.Time
+	starts   int
+}
+
+// TestRandomFaults runs seeds of cuts, outages, restarts, snapshots and expiry.
+// All the while no daemon may claim to be more recent than it is; afterwards all
+// reach the same state.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			run(t, func(t *testing.T, w *world) {
+				s := &schedule{world: w, random: rand.New(rand.NewPCG(seed, 0))}
+				s.append(t, record.Edit{ID: "root", Path: "teams/root", Values: map[string]string{"credential": string(hash)}})
+				for range 4 {
+					s.grow(t)
+				}
+				for range 150 {
+					s.act(t)
+					time.Sleep(time.Duration(s.random.IntN(400)) * time.Millisecond)
+					s.honest(t)
+				}
+				s.heal(t)
+			})
+		})
+	}
+}
+
+func (s *schedule) append(t *testing.T, r record.Record) {
+	t.Helper()
+	s.world.append(t, r)
+	s.appended = append(s.appended, time.Now())
+}
+
+// grow starts a daemon; every other one in the second centre.
+func (s *schedule) grow(t *testing.T) {
+	t.Helper()
+	s.starts++
+	s.add(t, ids.Daemon(fmt.Sprint("vm", s.starts)), ids.Centre([]string{"a", "b"}[s.starts%2]))
+}
+
+// some returns a random daemon.
+func (s *schedule) some() *node {
+	all := slices.Sorted(maps.Keys(s.nodes))
+	return s.nodes[all[s.random.IntN(len(all))]]
+}
+
+func (s *schedule) act(t *testing.T) {
+	t.Helper()
+	switch s.random.IntN(9) {
+	case 0, 1, 2:
+		s.away(false)
+		s.change(t)
+	case 3:
+		s.setCut(string(s.some().id), string(s.some().id), s.random.IntN(2) == 0)
+	case 4:
+		s.setCut(string(s.some().id), "log", s.random.IntN(2) == 0)
+	case 5:
+		s.away(s.random.IntN(2) == 0)
+	case 6:
+		if len(s.nodes) < 9 {
+			s.grow(t)
+		}
+	case 7:
+		s.snapshot(t)
+	case 8:
+		s.lose(t)
+	}
+}
+
+func (s *schedule) away(away bool) { s.log.SetAway(away) }
+
+// change edits the account, sometimes with a base that is out of date.
+func (s *schedule) change(t *testing.T) {
+	t.Helper()
+	s.edits++
+	s.append(t, record.Edit{
+		ID: ids.Edit(fmt.Sprint(s.random.IntN(s.edits + 1))), Path: school, Credential: hash,
+		Base:   s.some().tail.Freeze().Version(school),
+		Values: map[string]string{"rate": fmt.Sprint(s.edits)},
+	})
+}
+
+// snapshot writes a daemon's state, and lets the log forget what came before.
+func (s *schedule) snapshot(t *testing.T) {
+	t.Helper()
+	s.away(false)
+	n := s.some()
+	f := n.tail.Freeze()
+	if f.As() == 0 {
+		return
+	}
+	for i := range f.Parts() {
+		part, _ := f.Part(i)
+		part.Maker, part.Logged, part.Made = n.id, f.As(), time.Now()
+		s.append(t, part)
+	}
+	if s.random.IntN(2) == 0 {
+		s.log.Expire(platformlog.Settings, len(s.appended)-int(f.As()))
+	}
+}
+
+// lose stops a daemon for good.
+func (s *schedule) lose(t *testing.T) {
+	t.Helper()
+	if len(s.nodes) < 4 {
+		return
+	}
+	n := s.some()
+	must.NoError(t, n.kernel.Stop(time.Second))
+	s.mu.Lock()
+	delete(s.nodes, n.id)
+	s.mu.Unlock()
+	if s.random.IntN(2) == 0 {
+		for _, other := range s.nodes {
+			other.directory.Put(member.Member{Daemon: n.id, Incarnation: 1, Version: 1, Centre: n.centre, Gone: true})
+		}
+	}
+}
+
+// honest asserts that each state holds every record that was on the log at the
+// instant that its daemon names.
+func (s *schedule) honest(t *testing.T) {
+	t.Helper()
+	for id, n := range s.nodes {
+		asked, known := n.tail.Asked()
+		if !known {
+			continue
+		}
+		at := time.Now().Add(-n.tail.Common.Clock.Now().Sub(asked))
+		held := int(n.tail.Offset())
+		for i := held; i < len(s.appended); i++ {
+			must.False(t, s.appended[i].Before(at), must.Sprintf("%s at %d claims to hold %d", id, held, i+1))
+		}
+	}
+}
+
+// heal ends all faults and waits for the same state everywhere.
+func (s *schedule) heal(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	clear(s.cut)
+	s.mu.Unlock()
+	s.away(false)
+	time.Sleep(20 * time.Second)
+	s.change(t)
+	time.Sleep(inForce)
+	s.reach(t, ids.Offset(len(s.appended)))
+	for _, n := range s.nodes {
+		must.Less(t, confirmation, n.age(t))
+	}
+}
--- a/internal/tail/readers.go
+++ b/internal/tail/readers.go
@@ -31,7 +31,7 @@
 	}
 	own := t.Common.Settings.Identity
 	var near []ids.Daemon
-	for _, m := range t.directory.Members() {
+	for _, m := range t.directory.Reachable() {
 		if m.Centre == own.Centre && m.Incarnation != 0 && !m.Leaving && !m.Gone {
 			near = append(near, m.Daemon)
 		}
