--- /dev/null
+++ b/internal/settings/shared_test.go
@@ -0,0 +1,46 @@
+package settings_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+func TestLoadShared(t *testing.T) {
+	const good = "[teams/a/accounts/b]\nrate = 5\n\n[teams/a/services/c]\n"
+	all, err := settings.LoadShared("a.ini", []byte(good))
+	must.NoError(t, err)
+	must.Eq(t, []settings.Shared{
+		{Path: "teams/a/accounts/b", Values: map[string]string{"rate": "5"}},
+		{Path: "teams/a/services/c", Values: map[string]string{}},
+	}, all)
+
+	cases := []struct {
+		name string
+		text string
+		want settings.Error
+	}{
+		{"wrong value", good + "[teams/a/accounts/d]\n\nrate = many\n", settings.Error{
+			File: "a.ini", Section: "teams/a/accounts/d", Name: "rate", Line: 7,
+			Reason: `"many" is not a requests per second`,
+		}},
+		{"unknown name", "[teams/a/accounts/d]\nspeed = 1\n", settings.Error{
+			File: "a.ini", Section: "teams/a/accounts/d", Name: "speed", Line: 2, Reason: "no such name",
+		}},
+		{"bad path", "# note\n[teams/a/things/d]\n", settings.Error{
+			File: "a.ini", Section: "teams/a/things/d", Line: 2,
+			Reason: "the path is not teams/TEAM or teams/TEAM/{services,routes,accounts,keys}/NAME",
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.LoadShared("a.ini", []byte(c.text))
+			var e *settings.Error
+			must.True(t, errors.As(err, &e))
+			must.Eq(t, c.want, *e)
+		})
+	}
+}
