--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -24,6 +24,7 @@
 	"balsamwharf.example/balsamwharf/internal/dispatch"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/front"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
@@ -31,6 +32,7 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/seating"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -77,7 +79,9 @@
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
+	a.kernel.Add(&force.Force{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
+	a.kernel.Add(&seating.Seating{Common: c, Log: a.Log})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/confirm/confirm.go
+++ b/internal/confirm/confirm.go
@@ -5,34 +5,42 @@
 //	c, err := kernel.Find[standing.Standing](f, "confirm")
 //	if c.Confirmed() { ... }
 //
-// A confirmation lasts for Period, counted from when the question was sent, on
+// Evidence lasts for evidence.Period, counted from when the question was sent, on
 // this daemon's own monotonic clock; a daemon that was paused finds it expired.
+// It comes from the log, from a peer, or while the log is away from a majority of
+// the witnesses. docs/design/confirm.md gives the proof.
 package confirm
 
 import (
 	"context"
-	"time"
+	"sync"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/evidence"
+	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
-// Period is how long a confirmation lasts.
-const Period = 2 * time.Second
-
 // Confirm follows the confirmations of this daemon's state.
 type Confirm struct {
 	Common *common.Common
 
-	tail      *tail.Tail
-	directory *directory.Directory
-	gossip    *gossip.Gossip
+	tail   *tail.Tail
+	gossip *gossip.Gossip
+	force  *force.Force
+	peers  peer.Caller
+
+	mu   sync.Mutex
+	told evidence.Evidence
 }
 
 // Name implements service.Service.
@@ -40,11 +48,11 @@
 
 // Needs implements service.Service.
 func (c *Confirm) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "gossip"}
+	return []service.Name{"timer", "tail", "gossip", "force", "dial"}
 }
 
 // Start implements service.Service.
-func (c *Confirm) Start(_ context.Context, f service.Finder) error {
+func (c *Confirm) Start(ctx context.Context, f service.Finder) error {
 	var err error
 	if c.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
 		return err
@@ -52,17 +60,26 @@
 	if c.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
 		return err
 	}
-	c.directory, err = kernel.Find[*directory.Directory](f, "directory")
-	return err
+	if c.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
+		return err
+	}
+	if c.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	go c.run(ctx)
+	return nil
 }
 
-// Stop implements service.Service.
+// Stop implements service.Service. The task ends with the kernel's context.
 func (c *Confirm) Stop(context.Context) error { return nil }
 
 // Confirmed implements standing.Standing.
 func (c *Confirm) Confirmed() bool {
-	asked, ok := c.tail.Asked()
-	return ok && c.Common.Clock.Now().Sub(asked) < Period
+	inForce := c.force.Newest()
+	position, e := c.evidence()
+	confirmed := e.Holds(c.Common.Clock.Now(), position)
+	c.Common.Invariant.Check(!confirmed || position >= inForce, "confirmed without a record that is in force")
+	return confirmed
 }
 
 // Self implements standing.Standing.
@@ -71,15 +88,51 @@
 	return own.Daemon, own.Incarnation
 }
 
-// Roster implements standing.Standing. It lists the daemons that gossip knows,
-// until rosters are records of the log.
-func (c *Confirm) Roster() roster.Roster {
-	var r roster.Roster
-	for _, m := range c.directory.Members() {
-		if m.Gone || m.Leaving || m.Incarnation == 0 {
-			continue
-		}
-		r.Entries = append(r.Entries, roster.Entry{Daemon: m.Daemon, Incarnation: m.Incarnation, Centre: m.Centre, Region: m.Region})
+// Roster implements standing.Standing.
+func (c *Confirm) Roster() roster.Roster { return c.force.Roster() }
+
+// Answer answers another daemon's question.
+func (c *Confirm) Answer() message.Confirmation {
+	own := c.gossip.Own()
+	inForce := c.force.Newest()
+	position, e := c.evidence()
+	now := c.Common.Clock.Now()
+	return message.Confirmation{
+		Incarnation: own.Incarnation,
+		Seen:        position,
+		Retired:     own.Leaving || own.Gone,
+		Confirmed:   e.Holds(now, position),
+		At:          e.At,
+		Age:         e.Age(now),
+		Force:       inForce,
 	}
-	return r
+}
+
+// evidence returns the position and the best evidence for it.
+func (c *Confirm) evidence() (ids.Offset, evidence.Evidence) {
+	var position ids.Offset
+	asked, known := c.tail.Asked()
+	c.tail.View(func(s *replay.State) { position = s.Offset() })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !known {
+		return position, c.told
+	}
+	return position, evidence.Newer(c.told, evidence.Of(position, asked), position)
+}
+
+// hold keeps evidence when it lasts longer than what is kept.
+func (c *Confirm) hold(e evidence.Evidence) {
+	position, _ := c.evidence()
+	now := c.Common.Clock.Now()
+	c.Common.Invariant.Check(e.Age(now) >= 0, "evidence from the future")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = evidence.Newer(c.told, e, position)
+}
+
+// age returns how old the evidence is, or evidence.Period when there is none.
+func (c *Confirm) age(now units.Instant) (ids.Offset, evidence.Evidence, bool) {
+	position, e := c.evidence()
+	return position, e, e.Holds(now, position)
 }
--- /dev/null
+++ b/internal/confirm/poll.go
@@ -0,0 +1,142 @@
+package confirm
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/asker"
+	"balsamwharf.example/balsamwharf/internal/evidence"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/internal/witness"
+)
+
+const (
+	// period is the time between two looks at the evidence's age.
+	period      = 250 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// askerAge is the age at which an asker renews its evidence. It is above what
+	// a waiting read of the log takes, so nothing is asked while the log answers.
+	askerAge = 700 * time.Millisecond
+	// otherAge is the age at which the other daemons ask an asker.
+	otherAge = 1200 * time.Millisecond
+	// directAge is the age at which a daemon asks the witnesses whoever it is.
+	directAge = 1600 * time.Millisecond
+	// directPause is the least time between two such rounds; as much again is
+	// added at random.
+	directPause = 2 * time.Second
+)
+
+// run renews the evidence while the log does not.
+func (c *Confirm) run(ctx context.Context) {
+	sub := c.Common.Clock.Every(period)
+	defer sub.Stop()
+	var direct units.Instant
+	for {
+		select {
+		case now := <-sub.C:
+			whom := c.whom(now, now >= direct)
+			if whom.witnesses && !whom.chosen {
+				direct = now.Add(directPause + rand.N(directPause))
+			}
+			c.ask(ctx, whom)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round names the daemons to ask. Without witnesses the answers count for what
+// the peers are confirmed at only.
+type round struct {
+	daemons   []ids.Daemon
+	chosen    bool
+	witnesses bool
+}
+
+// whom returns the daemons to ask now.
+func (c *Confirm) whom(now units.Instant, direct bool) round {
+	newest, _ := c.newest()
+	own := c.gossip.Own()
+	_, e, holds := c.age(now)
+	a := asker.Of(newest, own.Centre)
+	chosen := a.Chosen(own.Daemon)
+	old := func(limit time.Duration) bool { return !holds || e.Age(now) >= limit }
+	switch {
+	case chosen && old(askerAge), direct && old(directAge):
+		return round{daemons: newest.Witnesses(), chosen: chosen, witnesses: true}
+	case !chosen && old(otherAge):
+		return round{daemons: []ids.Daemon{a.Daemons[rand.IntN(len(a.Daemons))]}}
+	default:
+		return round{}
+	}
+}
+
+// newest returns the newest roster that this daemon has read, in force or not,
+// and the position: the witnesses of this roster decide about the next record.
+func (c *Confirm) newest() (roster.Roster, ids.Offset) {
+	var newest roster.Roster
+	var position ids.Offset
+	c.tail.View(func(s *replay.State) {
+		position = s.Offset()
+		if kept, _ := s.Rosters(); len(kept) > 0 {
+			newest = kept[len(kept)-1]
+		}
+	})
+	return newest, position
+}
+
+// ask asks the daemons of a round at once and weighs their answers.
+func (c *Confirm) ask(ctx context.Context, r round) {
+	if len(r.daemons) == 0 {
+		return
+	}
+	ctx, cancel := c.Common.Clock.Within(ctx, callTimeout)
+	defer cancel()
+	self, incarnation := c.Self()
+	var mu sync.Mutex
+	var poll witness.Poll
+	var wg sync.WaitGroup
+	for _, to := range r.daemons {
+		asked := c.Common.Clock.Now()
+		if to == self {
+			answer := c.Answer()
+			mu.Lock()
+			c.weigh(&poll, to, incarnation, answer, asked)
+			mu.Unlock()
+			continue
+		}
+		wg.Go(func() {
+			reply, err := c.peers.Call(ctx, to, message.Question{})
+			answer, ok := reply.(message.Confirmation)
+			if err != nil || !ok {
+				return
+			}
+			c.force.Hear(to, answer)
+			if answer.Confirmed {
+				c.hold(evidence.Told(answer.At, asked, answer.Age))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			c.weigh(&poll, to, answer.Incarnation, answer, asked)
+		})
+	}
+	wg.Wait()
+}
+
+// weigh adds a witness's answer and keeps the evidence once a majority is there.
+func (c *Confirm) weigh(poll *witness.Poll, from ids.Daemon, inc ids.Incarnation, answer message.Confirmation, asked units.Instant) {
+	if answer.Retired {
+		return
+	}
+	poll.Hear(from, inc, answer.Seen, asked)
+	newest, position := c.newest()
+	if at, ok := poll.Confirms(newest, position); ok {
+		c.hold(evidence.Of(position, at))
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
@@ -29,6 +30,7 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	confirm    *confirm.Confirm
 }
 
 // Name implements service.Service.
@@ -36,7 +38,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip"}
+	return []service.Name{"gatekeeper", "gossip", "confirm"}
 }
 
 // Start implements service.Service.
@@ -45,6 +47,9 @@
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
 	}
+	if d.confirm, err = kernel.Find[*confirm.Confirm](f, "confirm"); err != nil {
+		return err
+	}
 	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
 	return err
 }
@@ -62,6 +67,8 @@
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Question:
+		return d.confirm.Answer(), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- /dev/null
+++ b/internal/evidence/evidence.go
@@ -0,0 +1,59 @@
+// Package evidence decides how long a daemon may act on the records that it has
+// read.
+//
+// # Usage
+//
+//	best := evidence.Newer(old, evidence.Of(offset, asked))
+//	if best.Holds(now, position) { ... }
+//
+// An Evidence states: no record past At is in force before Asked + Period. So it
+// also covers every position after At. The zero Evidence covers nothing.
+package evidence
+
+import (
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Period is how long evidence lasts, counted from when the question was sent.
+const Period = 2 * time.Second
+
+// Evidence is the answer to a question about newer records.
+type Evidence struct {
+	At    ids.Offset
+	Asked units.Instant
+	known bool
+}
+
+// Of returns the evidence of a question sent at asked that showed no record past
+// at.
+func Of(at ids.Offset, asked units.Instant) Evidence {
+	return Evidence{At: at, Asked: asked, known: true}
+}
+
+// Told returns the evidence of a peer that stated its age in answer to a
+// question sent at asked. The peer's answer was made after the question was sent,
+// so its evidence is not older than age before that.
+func Told(at ids.Offset, asked units.Instant, age time.Duration) Evidence {
+	return Of(at, asked.Add(-age))
+}
+
+// Holds reports whether the evidence covers the position now.
+func (e Evidence) Holds(now units.Instant, position ids.Offset) bool {
+	return e.known && position >= e.At && e.Age(now) < Period
+}
+
+// Age returns the time since the question was sent.
+func (e Evidence) Age(now units.Instant) time.Duration { return now.Sub(e.Asked) }
+
+// Newer returns the one of two that lasts longer. Evidence past the position is
+// not yet of use and loses.
+func Newer(a, b Evidence, position ids.Offset) Evidence {
+	usable := func(e Evidence) bool { return e.known && e.At <= position }
+	if !usable(b) || (usable(a) && !a.Asked.Before(b.Asked)) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/force/ask.go
@@ -0,0 +1,102 @@
+package force
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/asker"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+)
+
+const (
+	// period is the time between two rounds of questions while a record is not
+	// known to be in force.
+	period      = 250 * time.Millisecond
+	callTimeout = 800 * time.Millisecond
+	// relayRounds is how many rounds pass between two questions to an asker.
+	relayRounds = 4
+	// directRounds is how many rounds pass between two rounds of questions to the
+	// witnesses by a daemon that is no asker.
+	directRounds = 40
+)
+
+// run asks while a record that this daemon has read is not known to be in force.
+func (f *Force) run(ctx context.Context) {
+	sub := f.Common.Clock.Every(period)
+	defer sub.Stop()
+	for round := 1; ; round++ {
+		select {
+		case <-sub.C:
+		case <-ctx.Done():
+			return
+		}
+		if f.step() {
+			round = 0
+			continue
+		}
+		f.ask(ctx, f.whom(round))
+		f.step()
+	}
+}
+
+// whom returns the daemons to ask in a round.
+func (f *Force) whom(round int) []ids.Daemon {
+	var kept []roster.Roster
+	f.tail.View(func(s *replay.State) { kept, _ = s.Rosters() })
+	if len(kept) == 0 {
+		return nil
+	}
+	own := f.gossip.Own()
+	a := asker.Of(kept[len(kept)-1], own.Centre)
+	if a.Chosen(own.Daemon) || round%directRounds == 0 {
+		return unsettled(kept, f.Newest())
+	}
+	if round%relayRounds != 1 {
+		return nil
+	}
+	return []ids.Daemon{a.Daemons[rand.IntN(len(a.Daemons))]}
+}
+
+// unsettled returns the witnesses of the rosters that govern records after the
+// offset.
+func unsettled(kept []roster.Roster, after ids.Offset) []ids.Daemon {
+	known := map[ids.Daemon]bool{}
+	var all []ids.Daemon
+	for i, r := range kept {
+		if i+1 < len(kept) && kept[i+1].Version <= after {
+			continue
+		}
+		for _, id := range r.Witnesses() {
+			if !known[id] {
+				known[id] = true
+				all = append(all, id)
+			}
+		}
+	}
+	return all
+}
+
+// ask asks some daemons at once and takes over their answers.
+func (f *Force) ask(ctx context.Context, whom []ids.Daemon) {
+	ctx, cancel := f.Common.Clock.Within(ctx, callTimeout)
+	defer cancel()
+	own := f.gossip.Own().Daemon
+	var wg sync.WaitGroup
+	for _, to := range whom {
+		if to == own {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := f.peers.Call(ctx, to, message.Question{})
+			if c, ok := reply.(message.Confirmation); ok && err == nil {
+				f.Hear(to, c)
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/force/force.go
@@ -0,0 +1,172 @@
+// Package force tells which records of the settings stream are in force: no
+// daemon acts any more on a state without them.
+//
+// # Usage
+//
+//	f, err := kernel.Find[*force.Force](finder, "force")
+//	err = f.Wait(ctx, offset) // published, then in force
+//
+// Package chain decides; this package asks the witnesses and keeps time.
+package force
+
+import (
+	"context"
+	"sync"
+
+	"balsamwharf.example/balsamwharf/internal/chain"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Force follows what is in force.
+type Force struct {
+	Common *common.Common
+
+	tail      *tail.Tail
+	directory *directory.Directory
+	gossip    *gossip.Gossip
+	peers     peer.Caller
+
+	mu      sync.Mutex
+	chain   chain.Chain
+	changed chan struct{}
+}
+
+// Name implements service.Service.
+func (f *Force) Name() service.Name { return "force" }
+
+// Needs implements service.Service.
+func (f *Force) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "directory", "gossip", "dial"}
+}
+
+// Start implements service.Service.
+func (f *Force) Start(ctx context.Context, finder service.Finder) error {
+	var err error
+	if f.tail, err = kernel.Find[*tail.Tail](finder, "tail"); err != nil {
+		return err
+	}
+	if f.directory, err = kernel.Find[*directory.Directory](finder, "directory"); err != nil {
+		return err
+	}
+	if f.gossip, err = kernel.Find[*gossip.Gossip](finder, "gossip"); err != nil {
+		return err
+	}
+	if f.peers, err = kernel.Find[peer.Caller](finder, "dial"); err != nil {
+		return err
+	}
+	go f.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service. The task ends with the kernel's context.
+func (f *Force) Stop(context.Context) error { return nil }
+
+// Newest returns the newest offset known to be in force.
+func (f *Force) Newest() ids.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.chain.Force()
+}
+
+// InForce reports whether the record at the offset is known to be in force.
+func (f *Force) InForce(at ids.Offset) bool { return f.Newest() >= at }
+
+// Wait returns once the record at the offset is known to be in force.
+func (f *Force) Wait(ctx context.Context, at ids.Offset) error {
+	for {
+		f.mu.Lock()
+		reached, changed := f.chain.Force() >= at, f.change()
+		f.mu.Unlock()
+		if reached {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Hear takes over what an answer of another daemon says about what is in force.
+func (f *Force) Hear(from ids.Daemon, c message.Confirmation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chain.Saw(from, c.Incarnation, c.Seen)
+	f.chain.Lives(from, c.Incarnation)
+	if c.Retired {
+		f.chain.Retires(from, c.Incarnation)
+	}
+	f.learn(func() { f.chain.Learn(c.Force) })
+}
+
+// Roster returns the newest roster in force with the newer ones that this daemon
+// has read.
+func (f *Force) Roster() roster.Roster {
+	newest := f.Newest()
+	var kept []roster.Roster
+	f.tail.View(func(s *replay.State) { kept, _ = s.Rosters() })
+	for i := len(kept) - 1; i >= 0; i-- {
+		if kept[i].Version <= newest {
+			r := kept[i]
+			r.Next = kept[i+1:]
+			return r
+		}
+	}
+	return roster.Roster{}
+}
+
+// step takes over the state that this daemon has read and what gossip says, and
+// advances what is in force. It reports whether every record read is in force.
+func (f *Force) step() (done bool) {
+	var kept []roster.Roster
+	var since, position, settled ids.Offset
+	f.tail.View(func(s *replay.State) {
+		kept, since = s.Rosters()
+		position, settled = s.Offset(), s.Settled()
+	})
+	own := f.gossip.Own()
+	members := f.directory.Members()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chain.Follow(kept, since, position)
+	f.chain.Saw(own.Daemon, own.Incarnation, position)
+	for _, m := range members {
+		f.chain.Lives(m.Daemon, m.Incarnation)
+	}
+	f.learn(func() {
+		f.chain.Learn(settled)
+		f.chain.Step(f.Common.Clock.Now())
+	})
+	return f.chain.Force() >= position
+}
+
+// learn runs a step of the chain and wakes those who wait for its result.
+func (f *Force) learn(advance func()) {
+	before := f.chain.Force()
+	advance()
+	after := f.chain.Force()
+	f.Common.Invariant.Check(after >= before, "a record in force reverted")
+	if after > before {
+		close(f.change())
+		f.changed = nil
+	}
+}
+
+// change returns the channel that the next advance closes.
+func (f *Force) change() chan struct{} {
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
--- a/internal/record/codec.go
+++ b/internal/record/codec.go
@@ -11,6 +11,7 @@
 const (
 	kindEdit     kind = "edit"
 	kindSnapshot kind = "snapshot"
+	kindRoster   kind = "roster"
 )
 
 // envelope is the form of every record on the log.
@@ -27,6 +28,8 @@
 		k = kindEdit
 	case Snapshot:
 		k = kindSnapshot
+	case Roster:
+		k = kindRoster
 	default:
 		return nil, errorx.IllegalArgument.New("no encoding for record %T", r)
 	}
@@ -48,6 +51,8 @@
 		return decodeAs[Edit](e.Body)
 	case kindSnapshot:
 		return decodeAs[Snapshot](e.Body)
+	case kindRoster:
+		return decodeAs[Roster](e.Body)
 	default:
 		return nil, errorx.IllegalFormat.New("record has the unknown kind %q", e.Kind)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -13,6 +13,7 @@
 
 import (
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/roster"
 )
 
 // Record is one record of the settings stream.
@@ -38,6 +39,8 @@
 	Sections []Section
 	// Recent lists the edits applied lately, so that a repeat is still known.
 	Recent []ids.Edit
+	// Roster is in force: a snapshot is taken only while the newest roster is.
+	Roster roster.Roster
 }
 
 // Section is one section within a Snapshot.
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -46,6 +46,7 @@
 	order    []ids.Edit
 	keys     map[ids.Hash]ids.Account
 	routes   routetable.Table
+	rosters  rosters
 }
 
 // Offset returns the offset of the last record applied.
@@ -69,6 +70,10 @@
 		}
 		s.offset = at
 		return Skipped{}
+	case record.Roster:
+		out := s.rosters.apply(at, r)
+		s.offset = at
+		return out
 	default:
 		s.offset = at
 		return Skipped{}
@@ -197,6 +202,7 @@
 		s.sections[sec.Path] = Entry{Section: parsed, Values: sec.Values, Version: sec.Version}
 		s.index(sec.Path, parsed)
 	}
+	s.rosters.load(snap.Roster)
 	for _, id := range snap.Recent {
 		s.remember(id, Skipped{})
 	}
@@ -204,7 +210,7 @@
 
 // Snapshot returns all sections as a record, in the order of their paths.
 func (s *State) Snapshot() record.Snapshot {
-	snap := record.Snapshot{As: s.offset, Recent: slices.Clone(s.order)}
+	snap := record.Snapshot{As: s.offset, Recent: slices.Clone(s.order), Roster: s.rosters.newest()}
 	for _, path := range slices.Sorted(maps.Keys(s.sections)) {
 		e := s.sections[path]
 		snap.Sections = append(snap.Sections, record.Section{Path: path, Version: e.Version, Values: e.Values})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,8 +5,11 @@
 //	r := standing.Roster()
 //	holders := rendezvous.Top(string(account), r.Daemons(), 2)
 //
+//	if r.Holds(self, incarnation, func(one roster.Roster) ids.Daemon { ... }) { spend }
+//
 // A roster is named by a record of the log and counts once that record is in
-// force, so no two daemons act on different rosters at the same time.
+// force. Daemons learn that at different times, so a holder must be named by the
+// roster in force and by every newer one that was read: see Holds.
 package roster
 
 import "balsamwharf.example/balsamwharf/internal/ids"
@@ -17,6 +20,8 @@
 	Version ids.Offset
 	// Entries are in order of Daemon. They must not be changed.
 	Entries []Entry
+	// Next holds newer rosters that were read but are not in force, oldest first.
+	Next []Roster
 }
 
 // Entry is one daemon of a roster. A restarted daemon has another incarnation
--- /dev/null
+++ b/internal/seating/seating.go
@@ -0,0 +1,167 @@
+// Package seating proposes rosters to the log.
+//
+// # Usage
+//
+//	k.Add(&seating.Seating{Common: c, Log: log})
+//
+// Every daemon looks whether the roster names the members that gossip knows.
+// Usually one of them proposes the change, the first in an order that depends on
+// the roster; the next ones wait longer. A proposal with a stale base has no
+// effect. Package seats decides what to propose.
+package seating
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/force"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/seats"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	period = time.Second
+	// firstDelay is how long a change waits, so that several become one record.
+	firstDelay = time.Second
+	// rankDelay is how much longer each further daemon waits.
+	rankDelay = 2 * time.Second
+	// maxDelay bounds the waiting of the last ones.
+	maxDelay      = 20 * time.Second
+	appendTimeout = 2 * time.Second
+)
+
+// Seating watches the members and proposes rosters.
+type Seating struct {
+	Common *common.Common
+	Log    platformlog.Log
+
+	tail      *tail.Tail
+	directory *directory.Directory
+	confirm   *confirm.Confirm
+	force     *force.Force
+	waiting   bool
+	since     units.Instant
+	base      ids.Offset
+}
+
+// Name implements service.Service.
+func (s *Seating) Name() service.Name { return "seating" }
+
+// Needs implements service.Service.
+func (s *Seating) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "directory", "confirm", "force"}
+}
+
+// Start implements service.Service.
+func (s *Seating) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if s.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if s.confirm, err = kernel.Find[*confirm.Confirm](f, "confirm"); err != nil {
+		return err
+	}
+	if s.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
+		return err
+	}
+	go s.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service. The task ends with the kernel's context.
+func (s *Seating) Stop(context.Context) error { return nil }
+
+func (s *Seating) run(ctx context.Context) {
+	sub := s.Common.Clock.Every(period)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			s.step(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step proposes a change when one is needed and this daemon's turn has come.
+func (s *Seating) step(ctx context.Context, now units.Instant) {
+	newest := s.newest()
+	change, needed := seats.Plan(newest, s.live())
+	if !needed || !s.confirm.Confirmed() || !s.force.InForce(newest.Version) {
+		s.waiting = false
+		return
+	}
+	if !s.waiting || s.base != newest.Version {
+		s.waiting, s.since, s.base = true, now, newest.Version
+	}
+	self, _ := s.confirm.Self()
+	if now.Sub(s.since) < delay(seats.Rank(newest, self)) {
+		return
+	}
+	s.waiting = false
+	s.propose(ctx, change)
+}
+
+// delay returns how long a daemon of the given rank waits.
+func delay(rank int) time.Duration {
+	return min(firstDelay+time.Duration(rank)*rankDelay, maxDelay)
+}
+
+// propose appends the change. A lost reply needs no care: a second append of the
+// same change has a stale base.
+func (s *Seating) propose(ctx context.Context, change record.Roster) {
+	data, err := record.Encode(change)
+	if err != nil {
+		s.Common.Warn(event.RosterUnsaid, zap.Error(err))
+		return
+	}
+	ctx, cancel := s.Common.Clock.Within(ctx, appendTimeout)
+	defer cancel()
+	at, err := s.Log.Append(ctx, platformlog.Settings, data)
+	if err != nil {
+		s.Common.Warn(event.RosterUnsaid, zap.Error(err))
+		return
+	}
+	s.Common.Info(event.RosterProposed, zap.Uint64("offset", uint64(at)), zap.Int("put", len(change.Put)), zap.Int("remove", len(change.Remove)))
+}
+
+// newest returns the newest roster that this daemon has read.
+func (s *Seating) newest() roster.Roster {
+	var newest roster.Roster
+	s.tail.View(func(state *replay.State) {
+		if kept, _ := state.Rosters(); len(kept) > 0 {
+			newest = kept[len(kept)-1]
+		}
+	})
+	return newest
+}
+
+// live returns the members that take part.
+func (s *Seating) live() []member.Member {
+	var live []member.Member
+	for _, m := range s.directory.Members() {
+		if m.Incarnation != 0 && !m.Leaving && !m.Gone {
+			live = append(live, m)
+		}
+	}
+	return live
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -15,6 +15,8 @@
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
+	kindAsk      kind = "ask"
+	kindConfirm  kind = "confirm"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -29,6 +31,10 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Question:
+		return kindAsk, nil
+	case message.Confirmation:
+		return kindConfirm, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -46,6 +52,10 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindAsk:
+		return decodeAs[message.Question](body)
+	case kindConfirm:
+		return decodeAs[message.Confirmation](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
