Model the core protocol and check it with spin

Two rules of the starting design fail in the model. A record must also wait for every earlier roster to be settled (majority of the wrong roster). Daemons learn at different times that a roster is in force, so a holder must be named by every newer roster it has read as well. Evidence of witnesses covers the asker's position, not the newest offset among the answers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo test format lint unit race
+.PHONY: all build demo test format lint unit race model
 
 all: build
 
@@ -13,7 +13,7 @@
 	$(GO) run ./cmd/balsamdemo $(ARGS)
 
 # Everything that must hold before a change lands.
-test: format lint unit race
+test: format lint unit race model
 
 format:
 	@out=$$($(GO) tool gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted by gofumpt:"; echo "$$out"; exit 1; fi
@@ -27,3 +27,9 @@
 
 race:
 	$(GO) test -race ./...
+
+# Checks the model of the core protocol; brings spin where it is missing.
+model:
+	@command -v spin >/dev/null || (apt-get update && apt-get install -y spin)
+	@command -v gcc >/dev/null || (apt-get update && apt-get install -y gcc libc6-dev)
+	spec/check.sh
