--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,12 +9,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
@@ -31,6 +33,7 @@
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
 	relay      *relay.Relay
+	confirm    *confirm.Confirm
 }
 
 // Name implements service.Service.
@@ -38,20 +41,22 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "relay"}
+	return []service.Name{
+		"gatekeeper",
+		"gossip",
+		"relay",
+		"confirm",
+	}
 }
 
 // Start implements service.Service.
 func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
-	var err error
-	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
-		return err
-	}
-	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
-		return err
-	}
-	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
-	return err
+	return errors.Join(
+		kernel.Bind(f, "gatekeeper", &d.gatekeeper),
+		kernel.Bind(f, "gossip", &d.gossip),
+		kernel.Bind(f, "relay", &d.relay),
+		kernel.Bind(f, "confirm", &d.confirm),
+	)
 }
 
 // Stop implements service.Service.
@@ -73,6 +78,8 @@
 		return d.relay.Pull(ctx, m), nil
 	case message.Fetch:
 		return d.relay.Fetch(m)
+	case message.Question:
+		return d.confirm.Answer(), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- a/internal/replay/digest.go
+++ b/internal/replay/digest.go
@@ -15,9 +15,9 @@
 // Digest.
 type Digest uint64
 
-// Digest returns the digest of the sections and of the remembered edits. It is
-// kept up to date with each record and costs nothing to read.
-func (s *State) Digest() Digest { return s.digest + s.memory.digest }
+// Digest returns the digest of the sections, of the remembered edits and of the
+// rosters. It is kept up to date with each record and costs nothing to read.
+func (s *State) Digest() Digest { return s.digest + s.memory.digest + s.rosters.digest }
 
 // digestOf hashes one section. The sum over all sections does not depend on the
 // order in which they came.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -60,6 +60,7 @@
 
 	tail      *tail.Tail
 	directory *directory.Directory
+	force     force
 	turn      turn
 }
 
@@ -70,11 +71,16 @@
 	set   bool
 }
 
+// force tells which records are in force.
+type force interface{ Newest() ids.Offset }
+
 // Name implements service.Service.
 func (s *Snapshot) Name() service.Name { return "snapshot" }
 
 // Needs implements service.Service.
-func (s *Snapshot) Needs() []service.Name { return []service.Name{"timer", "tail", "directory"} }
+func (s *Snapshot) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "directory", "force"}
+}
 
 // Start implements service.Service.
 func (s *Snapshot) Start(ctx context.Context, f service.Finder) error {
@@ -85,6 +91,9 @@
 	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
 		return err
 	}
+	if s.force, err = kernel.Find[force](f, "force"); err != nil {
+		return err
+	}
 	go s.run(ctx)
 	return nil
 }
@@ -170,6 +179,7 @@
 		part, _ := frozen.Part(i)
 		part.Maker = s.Common.Settings.Identity.Daemon
 		part.Logged, part.Made = frozen.As(), made
+		part.Settled = min(s.force.Newest(), frozen.As())
 		if err := s.append(ctx, part); err != nil {
 			return err
 		}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -21,6 +21,8 @@
 	kindFetch    kind = "fetch"
 	kindRecords  kind = "records"
 	kindPull     kind = "pull"
+	kindAsk      kind = "ask"
+	kindConfirm  kind = "confirm"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -47,6 +49,10 @@
 		return kindRecords, nil
 	case message.Pull:
 		return kindPull, nil
+	case message.Question:
+		return kindAsk, nil
+	case message.Confirmation:
+		return kindConfirm, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -76,6 +82,10 @@
 		return decodeAs[message.Records](body)
 	case kindPull:
 		return decodeAs[message.Pull](body)
+	case kindAsk:
+		return decodeAs[message.Question](body)
+	case kindConfirm:
+		return decodeAs[message.Confirmation](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
