Hold accounts to their rate and burst over the whole fleet

Each daemon had a bucket of its own, so n daemons admitted n times the rate. Now an account's bucket is split over holders, chosen by rendezvous hashing over the roster in force, and the others borrow tokens that end after 500 ms.

A holder counts the tokens that are out against its burst; with that the sum over any interval is rate x time + burst exactly.

Also mends the bucket, which gave away up to a nanosecond of rate on each fill.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -29,6 +29,7 @@
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/settings"
@@ -78,6 +79,7 @@
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
+	a.kernel.Add(&lender.Lender{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -7,6 +7,7 @@
 package bucket
 
 import (
+	"math"
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -29,6 +30,19 @@
 	b.primed = true
 }
 
+// Resize changes the rate and the burst from an instant on.
+func (b *Bucket) Resize(now units.Instant, rate units.Rate, burst units.Tokens) {
+	b.fill(now)
+	b.Rate, b.Burst = rate, burst
+	b.balance = min(b.balance, burst)
+}
+
+// Put adds n tokens, up to the burst.
+func (b *Bucket) Put(now units.Instant, n units.Tokens) {
+	b.fill(now)
+	b.balance = min(b.balance+n, b.Burst)
+}
+
 // Take removes n tokens when there are as many.
 func (b *Bucket) Take(now units.Instant, n units.Tokens) bool {
 	b.fill(now)
@@ -66,7 +80,9 @@
 	if add <= 0 {
 		return
 	}
-	b.filled = b.filled.Add(time.Duration(float64(add) / float64(units.Token) / float64(b.Rate) * float64(time.Second)))
+	// Rounded up, because a nanosecond given away on each fill adds up.
+	took := time.Duration(math.Ceil(float64(add) / float64(units.Token) / float64(b.Rate) * float64(time.Second)))
+	b.filled = min(b.filled.Add(took), now)
 	b.balance = min(b.balance+add, b.Burst)
 	if b.balance == b.Burst {
 		b.filled = now
--- /dev/null
+++ b/internal/holding/holding_test.go
@@ -0,0 +1,188 @@
+package holding_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"balsamwharf.example/balsamwharf/internal/holding"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/purse"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	lifetime = 500 * time.Millisecond
+	settle   = lifetime
+)
+
+// meter checks a stream of spent tokens against rate x time + burst over every
+// interval, as a bucket that must never run over.
+type meter struct {
+	rate  units.Rate
+	burst units.Tokens
+	level float64
+	last  units.Instant
+}
+
+func (m *meter) spend(now units.Instant, n units.Tokens) bool {
+	drained := float64(m.rate) * now.Sub(m.last).Seconds() * float64(units.Token)
+	m.level = max(0, m.level-drained) + float64(n)
+	m.last = now
+	return m.level <= float64(m.burst)+1
+}
+
+// flight is a question or an answer under way.
+type flight struct {
+	question holding.Question
+	asked    units.Instant
+	amount   units.Tokens
+}
+
+// machine is one holder with two borrowers over a network that delays, loses and
+// repeats; a change of holder replaces the holding by an empty one.
+type machine struct {
+	now       units.Instant
+	rate      units.Rate
+	burst     units.Tokens
+	holding   *holding.Holding
+	meter     meter
+	number    uint64
+	purses    map[ids.Daemon]*purse.Purse
+	questions []flight
+	answers   []flight
+	gave      map[uint64]bool
+}
+
+func (m *machine) begin(start units.Instant) {
+	m.holding = &holding.Holding{Lifetime: lifetime}
+	m.holding.Begin(start, 0, m.rate, m.burst)
+}
+
+func (m *machine) Advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) Quiet(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 10).Draw(t, "s")) * time.Second)
+}
+
+func (m *machine) Ask(t *rapid.T) {
+	who := ids.Daemon(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"))
+	m.number++
+	q := holding.Question{
+		Borrower: holding.Borrower{Daemon: who}, Number: m.number,
+		Need:  units.Tokens(rapid.IntRange(0, 20).Draw(t, "need")) * units.Token,
+		Extra: units.Tokens(rapid.IntRange(0, 9).Draw(t, "extra")) * units.Token,
+	}
+	for _, b := range m.purses[who].Settle("h", m.now.Add(lifetime/2)) {
+		q.Settled = append(q.Settled, holding.Settled{Number: b.Number, Unused: b.Left})
+	}
+	m.questions = append(m.questions, flight{question: q, asked: m.now})
+}
+
+// Deliver hands a question to the holder, and sometimes leaves it to come again.
+func (m *machine) Deliver(t *rapid.T) {
+	if len(m.questions) == 0 {
+		t.Skip("no question")
+	}
+	i := rapid.IntRange(0, len(m.questions)-1).Draw(t, "question")
+	f := m.questions[i]
+	if !rapid.Bool().Draw(t, "again") {
+		m.questions = append(m.questions[:i:i], m.questions[i+1:]...)
+	}
+	f.amount = m.holding.Lend(m.now, f.question)
+	if !m.holding.Bounded() {
+		t.Fatalf("the holder lent more than its share")
+	}
+	if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+		m.answers = append(m.answers, f)
+	}
+}
+
+// Exchange asks and gets the answer at once.
+func (m *machine) Exchange(t *rapid.T) {
+	m.Ask(t)
+	f := m.questions[len(m.questions)-1]
+	m.questions = m.questions[:len(m.questions)-1]
+	f.amount = m.holding.Lend(m.now, f.question)
+	m.take(f)
+}
+
+// Receive hands an answer to its borrower, which takes one for each question.
+func (m *machine) Receive(t *rapid.T) {
+	if len(m.answers) == 0 {
+		t.Skip("no answer")
+	}
+	i := rapid.IntRange(0, len(m.answers)-1).Draw(t, "answer")
+	f := m.answers[i]
+	m.answers = append(m.answers[:i:i], m.answers[i+1:]...)
+	m.take(f)
+}
+
+func (m *machine) take(f flight) {
+	if m.gave[f.question.Number] {
+		return
+	}
+	m.gave[f.question.Number] = true
+	b := purse.Batch{Holder: "h", Number: f.question.Number, Left: f.amount, Ends: f.asked.Add(lifetime)}
+	m.purses[f.question.Borrower.Daemon].Add(b)
+}
+
+func (m *machine) Spend(t *rapid.T) {
+	who := ids.Daemon(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"))
+	for range rapid.IntRange(1, 20).Draw(t, "n") {
+		if _, ok := m.purses[who].Spend(m.now, units.Token); ok && !m.meter.spend(m.now, units.Token) {
+			t.Fatalf("more was spent than rate x time + burst")
+		}
+	}
+}
+
+func (m *machine) Change(*rapid.T) { m.begin(m.now.Add(settle)) }
+
+func (m *machine) Check(*rapid.T) {}
+
+func TestSpentStaysWithinRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{
+			rate:   units.Rate(rapid.IntRange(1, 100).Draw(t, "rate")),
+			burst:  units.Tokens(rapid.IntRange(1, 20).Draw(t, "burst")) * units.Token,
+			purses: map[ids.Daemon]*purse.Purse{"a": {}, "b": {}},
+			gave:   map[uint64]bool{},
+		}
+		m.meter = meter{rate: m.rate, burst: m.burst}
+		m.begin(0)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+func TestLend(t *testing.T) {
+	ask := func(n uint64, need units.Tokens, settled ...holding.Settled) holding.Question {
+		return holding.Question{Borrower: holding.Borrower{Daemon: "a"}, Number: n, Need: need * units.Token, Settled: settled}
+	}
+	second := units.Instant(time.Second)
+	cases := []struct {
+		name string
+		at   units.Instant
+		q    holding.Question
+		want units.Tokens
+	}{
+		{name: "empty at the start", at: 0, q: ask(1, 3), want: 0},
+		{name: "what there is", at: second, q: ask(2, 30), want: 10},
+		{name: "the same again", at: second, q: ask(2, 30), want: 10},
+		{name: "nothing while the burst is out", at: second + second/4, q: ask(3, 1), want: 0},
+		{name: "returned tokens", at: second + second/4, q: ask(4, 30, holding.Settled{Number: 2, Unused: 4 * units.Token}), want: 4},
+		{name: "a late question that was given up", at: second + second/4, q: ask(1, 3), want: 0},
+		{name: "never more than the burst", at: 100 * second, q: ask(5, 30), want: 10},
+	}
+	h := holding.Holding{Lifetime: lifetime}
+	h.Begin(0, 0, 10, 10*units.Token)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			must.EqOp(t, c.want*units.Token, h.Lend(c.at, c.q))
+			must.True(t, h.Bounded())
+		})
+	}
+}
--- /dev/null
+++ b/internal/holding/main_test.go
@@ -0,0 +1,18 @@
+package holding_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed, so that every run draws the same schedules; a flag on
+// the command line goes before it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.steps": "60", "rapid.checks": "4000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/ids/ids.go
+++ b/internal/ids/ids.go
@@ -56,3 +56,9 @@
 	team, _, _ := strings.Cut(string(id), "/")
 	return Team(team)
 }
+
+// NameOf returns the name of a service, route or account identifier within its team.
+func NameOf[T ~string](id T) string {
+	_, name, _ := strings.Cut(string(id), "/")
+	return name
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,67 +1,217 @@
-// Package limit holds every client account to its rate and burst.
+// Package limit holds every client account to its rate and burst over all VMs
+// together.
 //
 // # Usage
 //
 //	err := l.Admit(ctx, account, settings) // a verdict error with status 429
+//
+// It borrows tokens from the account's holders in batches. A request that finds
+// no token waits within its deadline, in order of arrival.
 package limit
 
 import (
 	"context"
-	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
 
-	"balsamwharf.example/balsamwharf/internal/bucket"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
+	"balsamwharf.example/balsamwharf/internal/lru"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/share"
+	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
-	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
 
-// Limit keeps one bucket for each client account seen by this daemon.
+const (
+	// maxWaiters bounds the requests of one account that wait for tokens.
+	maxWaiters = 1024
+	// sweepPeriod is how often unused tokens are returned.
+	sweepPeriod = lender.Lifetime / 4
+	// forget is how long an account is kept after its last request.
+	forget = 10 * time.Second
+	// cachedShares bounds the memory of who holds which account.
+	cachedShares = 4096
+)
+
+// Limit borrows and spends tokens for the accounts with recent requests.
 type Limit struct {
 	Common *common.Common
 
-	mu      sync.Mutex
-	buckets map[ids.Account]*bucket.Bucket
+	standing standing.Standing
+	peers    peer.Caller
+	lender   *lender.Lender
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	number   atomic.Uint64
+	asked    metrics.Counter
+	admitted metrics.Counter
+
+	mu       sync.Mutex
+	accounts map[ids.Account]*account
+	shares   lru.Cache[shareKey, share.Share]
+}
+
+// shareKey names an account's share under a roster; rosters without a version
+// are told apart by their length, which only costs a question to a wrong holder.
+type shareKey struct {
+	account ids.Account
+	limits  settings.Account
+	version ids.Offset
+	length  int
 }
 
 // Name implements service.Service.
 func (l *Limit) Name() service.Name { return "limit" }
 
 // Needs implements service.Service.
-func (l *Limit) Needs() []service.Name { return []service.Name{"timer"} }
+func (l *Limit) Needs() []service.Name {
+	return []service.Name{"timer", "confirm", "dial", "lender"}
+}
 
 // Start implements service.Service.
-func (l *Limit) Start(context.Context, service.Finder) error { return nil }
+func (l *Limit) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if l.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+		return err
+	}
+	if l.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	if l.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
+		return err
+	}
+	l.accounts = map[ids.Account]*account{}
+	l.shares = lru.Cache[shareKey, share.Share]{Limit: cachedShares}
+	l.asked = metrics.GetOrRegisterCounter("limit.questions", l.Common.Metrics)
+	l.admitted = metrics.GetOrRegisterCounter("limit.admitted", l.Common.Metrics)
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	l.tasks.Go(l.sweep)
+	return nil
+}
 
-// Stop implements service.Service.
-func (l *Limit) Stop(context.Context) error { return nil }
+// Stop ends the borrowing tasks. No request waits any more, because front stops first.
+func (l *Limit) Stop(context.Context) error {
+	l.mu.Lock()
+	l.cancel()
+	l.mu.Unlock()
+	l.tasks.Wait()
+	return nil
+}
 
-// Admit takes one token of the account or refuses the request.
-func (l *Limit) Admit(_ context.Context, id ids.Account, a settings.Account) error {
+// Admit takes one token of the account. It waits for one until ctx ends.
+func (l *Limit) Admit(ctx context.Context, id ids.Account, a settings.Account) error {
+	w, err := l.enter(ctx, id, a)
+	if err != nil || w == nil {
+		return err
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return l.leave(id, w)
+	}
+}
+
+// enter spends a token that is here, or joins the queue.
+func (l *Limit) enter(ctx context.Context, id ids.Account, a settings.Account) (*waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Common.Clock.Now()
-	b := l.bucketOf(now, id, a)
-	if b.Take(now, units.Token) {
-		return nil
+	acc := l.accountOf(id)
+	acc.limits = a
+	acc.used = now
+	acc.demand.note(now)
+	if len(acc.queue) == 0 && l.spend(now, acc) {
+		l.prefetch(now, acc)
+		return nil, nil
+	}
+	if len(acc.queue) >= maxWaiters {
+		return nil, overRate(a, len(acc.queue))
+	}
+	w := &waiter{done: make(chan error, 1), deadline: l.deadline(ctx, now)}
+	if hopeless(now, w, a, len(acc.queue)) {
+		return nil, overRate(a, len(acc.queue))
 	}
-	refusal := verdict.New(verdict.Unrun, http.StatusTooManyRequests, "the client account is over its rate")
-	return refusal.After(b.Wait(now, units.Token))
+	acc.queue = append(acc.queue, w)
+	l.borrow(acc)
+	return w, nil
 }
 
-func (l *Limit) bucketOf(now units.Instant, id ids.Account, a settings.Account) *bucket.Bucket {
-	if l.buckets == nil {
-		l.buckets = map[ids.Account]*bucket.Bucket{}
+// spend takes one token from the account's batches.
+func (l *Limit) spend(now units.Instant, acc *account) bool {
+	ends, ok := acc.purse.Spend(now, units.Token)
+	if !ok {
+		return false
 	}
-	b, ok := l.buckets[id]
+	l.Common.Invariant.Check(now.Before(ends), "a borrower spends no batch that has ended")
+	l.admitted.Inc(1)
+	return true
+}
+
+// prefetch borrows ahead of demand when the batches run low.
+func (l *Limit) prefetch(now units.Instant, acc *account) {
+	if acc.purse.Balance(now) < acc.demand.ahead()/2 {
+		l.borrow(acc)
+	}
+}
+
+// borrow starts the account's borrowing task unless it runs.
+func (l *Limit) borrow(acc *account) {
+	if acc.busy || l.ctx.Err() != nil {
+		return
+	}
+	acc.busy = true
+	l.tasks.Go(func() { l.run(acc) })
+}
+
+// leave takes a request out of the queue when its time is over or its caller
+// has hung up.
+func (l *Limit) leave(id ids.Account, w *waiter) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	acc := l.accountOf(id)
+	for i, other := range acc.queue {
+		if other == w {
+			acc.queue = append(acc.queue[:i:i], acc.queue[i+1:]...)
+			return overRate(acc.limits, i)
+		}
+	}
+	// The answer came at the same moment.
+	return <-w.done
+}
+
+func (l *Limit) deadline(ctx context.Context, now units.Instant) units.Instant {
+	left, ok := l.Common.Clock.Left(ctx)
+	if !ok {
+		return never
+	}
+	return now.Add(left)
+}
+
+func (l *Limit) accountOf(id ids.Account) *account {
+	acc, ok := l.accounts[id]
 	if !ok {
-		b = &bucket.Bucket{Rate: a.Rate, Burst: units.Tokens(a.Burst) * units.Token}
-		b.Prime(now, b.Burst)
-		l.buckets[id] = b
+		acc = &account{id: id, abandoned: map[ids.Daemon][]uint64{}, avoid: map[ids.Daemon]units.Instant{}}
+		l.accounts[id] = acc
 	}
-	b.Rate, b.Burst = a.Rate, units.Tokens(a.Burst)*units.Token
-	return b
+	return acc
 }
+
+// Accounts returns how many accounts are in memory.
+func (l *Limit) Accounts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.accounts)
+}
+
+// Questions returns how many questions were asked of holders.
+func (l *Limit) Questions() int64 { return l.asked.Count() }
--- /dev/null
+++ b/internal/limit/seat_test.go
@@ -0,0 +1,62 @@
+package limit_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/holding"
+	"balsamwharf.example/balsamwharf/internal/lender"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// lend asks daemon i's lender for tokens as a borrower that no test run uses.
+func (w *world) lend(i int, number uint64, n units.Tokens) message.Lent {
+	q := holding.Question{Borrower: holding.Borrower{Daemon: "tester"}, Number: number, Need: n * units.Token}
+	return w.daemons[i].lend.Lend("tester", message.Borrow{Account: school, Question: q})
+}
+
+// A holder without a confirmation lends nothing.
+func TestUnconfirmedHolderLendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, settings.Account{Rate: 10, Burst: 10})
+		time.Sleep(settled)
+		must.EqOp(t, units.Token, w.lend(0, 1, 1).Amount)
+		w.daemons[0].away = true
+		time.Sleep(period)
+		must.False(t, w.lend(0, 2, 1).Holds)
+	})
+}
+
+// A question in the name of another daemon is refused.
+func TestBorrowerIsTheSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, settings.Account{Rate: 10, Burst: 10})
+		time.Sleep(settled)
+		q := holding.Question{Borrower: holding.Borrower{Daemon: "other"}, Number: 1, Need: units.Token}
+		must.False(t, w.daemons[0].lend.Lend("tester", message.Borrow{Account: school, Question: q}).Holds)
+	})
+}
+
+// When a roster splits the account over fewer holders, the larger share stays
+// empty until the earlier holders' tokens have ended, used lately or not.
+func TestOtherNumberOfHolders(t *testing.T) {
+	for _, used := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 2, settings.Account{Rate: 10, Burst: 10})
+			time.Sleep(settled)
+			if used {
+				must.EqOp(t, 5*units.Token, w.lend(0, 1, 10).Amount)
+			}
+			w.publish(0)
+			time.Sleep(period + time.Second)
+			must.Zero(t, w.lend(0, 2, 10).Amount)
+			time.Sleep(lender.Settle + time.Second)
+			must.EqOp(t, 10*units.Token, w.lend(0, 3, 10).Amount)
+		})
+	}
+}
--- /dev/null
+++ b/internal/message/borrow.go
@@ -0,0 +1,27 @@
+package message
+
+import (
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/holding"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Borrow asks a holder for tokens of a client account and returns others.
+type Borrow struct {
+	Account  ids.Account
+	Question holding.Question
+}
+
+// Lent answers a Borrow.
+type Lent struct {
+	// Holds is false when the receiver holds no share of the account.
+	Holds  bool
+	Amount units.Tokens
+	// Wait is when it is worth asking again.
+	Wait time.Duration
+}
+
+func (Borrow) isMessage() {}
+func (Lent) isMessage()   {}
--- /dev/null
+++ b/internal/purse/purse.go
@@ -0,0 +1,100 @@
+// Package purse is a borrower's stock of tokens of one client account.
+//
+// # Usage
+//
+//	p.Add(purse.Batch{Holder: "vm3", Number: 4, Left: 5 * units.Token, Ends: asked.Add(lifetime)})
+//	ends, ok := p.Spend(now, units.Token)
+package purse
+
+import (
+	"math"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Purse holds batches in the order in which they were borrowed.
+type Purse struct{ batches []Batch }
+
+// Batch is a grant of one holder.
+type Batch struct {
+	Holder ids.Daemon
+	Number uint64
+	Left   units.Tokens
+	// Ends is counted from when the question was sent, so that the borrower
+	// forgets the batch before its holder does.
+	Ends units.Instant
+}
+
+// Add puts a batch in.
+func (p *Purse) Add(b Batch) { p.batches = append(p.batches, b) }
+
+// Spend takes n tokens out of batches that have not ended. It returns the
+// earliest end among the batches that it used.
+func (p *Purse) Spend(now units.Instant, n units.Tokens) (units.Instant, bool) {
+	if p.Balance(now) < n {
+		return 0, false
+	}
+	earliest := units.Instant(math.MaxInt64)
+	for i := range p.batches {
+		b := &p.batches[i]
+		if !now.Before(b.Ends) || b.Left == 0 || n == 0 {
+			continue
+		}
+		part := min(n, b.Left)
+		b.Left -= part
+		n -= part
+		earliest = min(earliest, b.Ends)
+	}
+	return earliest, true
+}
+
+// Balance returns the tokens that can be spent.
+func (p *Purse) Balance(now units.Instant) units.Tokens {
+	var sum units.Tokens
+	for _, b := range p.batches {
+		if now.Before(b.Ends) {
+			sum += b.Left
+		}
+	}
+	return sum
+}
+
+// Settle removes the batches of a holder that are used up or end before an
+// instant, and returns them; what is left in them goes back to the holder.
+func (p *Purse) Settle(holder ids.Daemon, before units.Instant) []Batch {
+	var settled, rest []Batch
+	for _, b := range p.batches {
+		if b.Holder == holder && (b.Left == 0 || b.Ends.Before(before)) {
+			settled = append(settled, b)
+		} else {
+			rest = append(rest, b)
+		}
+	}
+	p.batches = rest
+	return settled
+}
+
+// Expire forgets batches that have ended.
+func (p *Purse) Expire(now units.Instant) {
+	var rest []Batch
+	for _, b := range p.batches {
+		if now.Before(b.Ends) {
+			rest = append(rest, b)
+		}
+	}
+	p.batches = rest
+}
+
+// Holders returns the daemons that the batches come from.
+func (p *Purse) Holders() []ids.Daemon {
+	var all []ids.Daemon
+	seen := map[ids.Daemon]bool{}
+	for _, b := range p.batches {
+		if !seen[b.Holder] {
+			seen[b.Holder] = true
+			all = append(all, b.Holder)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/purse/purse_test.go
@@ -0,0 +1,36 @@
+package purse_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/purse"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+func TestSpend(t *testing.T) {
+	cases := []struct {
+		name string
+		at   units.Instant
+		n    units.Tokens
+		ok   bool
+		ends units.Instant
+	}{
+		{name: "more than there is", at: 0, n: 6},
+		{name: "across batches", at: 0, n: 4, ok: true, ends: 10},
+		{name: "not from a batch that ended", at: 10, n: 3},
+		{name: "from the other", at: 10, n: 2, ok: true, ends: 20},
+		{name: "nothing after the last end", at: 20, n: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var p purse.Purse
+			p.Add(purse.Batch{Holder: "a", Left: 3, Ends: 10})
+			p.Add(purse.Batch{Holder: "b", Left: 2, Ends: 20})
+			ends, ok := p.Spend(c.at, c.n)
+			must.EqOp(t, c.ok, ok)
+			must.EqOp(t, c.ends, ends)
+		})
+	}
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -15,6 +15,8 @@
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
+	kindBorrow   kind = "borrow"
+	kindLent     kind = "lent"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -29,6 +31,10 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Borrow:
+		return kindBorrow, nil
+	case message.Lent:
+		return kindLent, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -46,6 +52,10 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindBorrow:
+		return decodeAs[message.Borrow](body)
+	case kindLent:
+		return decodeAs[message.Lent](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
