--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -31,6 +32,7 @@
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
 	lender     *lender.Lender
+	relay      *relay.Relay
 }
 
 // Name implements service.Service.
@@ -39,6 +41,7 @@
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
 	return []service.Name{"gatekeeper", "gossip", "lender"}
+	return []service.Name{"gatekeeper", "gossip", "relay"}
 }
 
 // Start implements service.Service.
@@ -48,6 +51,7 @@
 		return err
 	}
 	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
+	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
 		return err
 	}
 	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
@@ -69,6 +73,16 @@
 		return d.gossip.Hear(m), nil
 	case message.Borrow:
 		return d.lender.Lend(from, m), nil
+func (d *Dispatch) Control(ctx context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+	switch m := m.(type) {
+	case message.Announce:
+		return d.gossip.Hear(m), nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
+	case message.Pull:
+		return d.relay.Pull(ctx, m), nil
+	case message.Fetch:
+		return d.relay.Fetch(m)
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
