--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,8 +40,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "lender"}
-	return []service.Name{"gatekeeper", "gossip", "relay"}
+	return []service.Name{"gatekeeper", "gossip", "lender", "relay"}
 }
 
 // Start implements service.Service.
@@ -51,6 +50,8 @@
 		return err
 	}
 	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
+		return err
+	}
 	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
 		return err
 	}
@@ -67,16 +68,12 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
 	case message.Borrow:
 		return d.lender.Lend(from, m), nil
-func (d *Dispatch) Control(ctx context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
-	switch m := m.(type) {
-	case message.Announce:
-		return d.gossip.Hear(m), nil
 	case message.Probe:
 		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
