Run a request with an Idempotency-Key at most once

A guard daemon for each key, by rendezvous hashing over the roster in force, and a copy in another data centre note the key before the request is handed on.

Mutations tried, with the test that failed then: no question to earlier pairs, no copy (LostGuards, AtMostOnceUnderFaults); no wait after a change, a copy or a grant by a daemon that was told of a newer roster (AtMostOnceUnderFaults); an attempt ends another's note (Cancel, AtMostOnceUnderFaults); a late copy overwrites a newer one (Copy, AtMostOnceUnderFaults).

Until confirm tells which roster was the fleet's first (method First), keyed requests are refused with unrun for the first 10 minutes of a daemon's life.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -27,6 +27,7 @@
 	"balsamwharf.example/balsamwharf/internal/front"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/lender"
@@ -82,6 +83,7 @@
 	a.kernel.Add(&gossip.Gossip{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
 	a.kernel.Add(&lender.Lender{Common: c})
+	a.kernel.Add(&guard.Guard{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
@@ -32,6 +33,7 @@
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
 	lender     *lender.Lender
+	guard      *guard.Guard
 	relay      *relay.Relay
 }
 
@@ -40,7 +42,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "lender", "relay"}
+	return []service.Name{"gatekeeper", "gossip", "lender", "relay", "guard"}
 }
 
 // Start implements service.Service.
@@ -52,6 +54,9 @@
 	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
 		return err
 	}
+	if d.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
+		return err
+	}
 	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
 		return err
 	}
@@ -74,6 +79,14 @@
 		return d.gossip.Hear(m), nil
 	case message.Borrow:
 		return d.lender.Lend(from, m), nil
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m), nil
+	case message.GuardLook:
+		return d.guard.Look(m), nil
+	case message.GuardCopy:
+		return d.guard.Copy(m), nil
+	case message.GuardEnd:
+		return d.guard.End(ctx, m), nil
 	case message.Probe:
 		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"balsamwharf.example/balsamwharf/internal/chooser"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/limit"
@@ -47,6 +48,7 @@
 	tail      *tail.Tail
 	directory *directory.Directory
 	limit     *limit.Limit
+	guard     *guard.Guard
 	hop       *hop.Hop
 	standing  standing.Standing
 	chooser   chooser.Chooser
@@ -69,7 +71,7 @@
 
 // Needs implements service.Service.
 func (e *Entry) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm"}
+	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm", "guard"}
 }
 
 // Start implements service.Service.
@@ -84,6 +86,9 @@
 	if e.limit, err = kernel.Find[*limit.Limit](f, "limit"); err != nil {
 		return err
 	}
+	if e.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
+		return err
+	}
 	if e.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
@@ -120,7 +125,7 @@
 		cancel()
 		return nil, err
 	}
-	answer, err := e.forward(ctx, head, body)
+	answer, err := e.once(ctx, head, body)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -176,11 +181,7 @@
 }
 
 // forward tries targets until one answers or a repeat could run the request twice.
-func (e *Entry) forward(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
-	replay, err := newReplayBody(head, body)
-	if err != nil {
-		return nil, err
-	}
+func (e *Entry) forward(ctx context.Context, head call.Head, replay *replayBody) (*call.Answer, error) {
 	tried := map[ids.Target]bool{}
 	for attempt := 1; ; attempt++ {
 		target, err := e.choose(head.Service, tried)
--- /dev/null
+++ b/internal/entry/once.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+const (
+	// keyHeader names a request, so that a repeat of it does not run again.
+	keyHeader   = "Idempotency-Key"
+	maxKeyBytes = 256
+	// maxKeptAnswer is the largest answer that a repeat gets.
+	maxKeptAnswer units.Bytes = 64 << 10
+	guardWait                 = time.Second
+)
+
+// once forwards a request; one with an idempotency key runs at most once,
+// whichever daemon its repeats reach.
+func (e *Entry) once(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
+	replay, err := newReplayBody(head, body)
+	if err != nil {
+		return nil, err
+	}
+	values := http.Header(head.Header)[keyHeader]
+	if len(values) == 0 || head.Idempotent || head.Account == "" {
+		return e.forward(ctx, head, replay)
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+		return nil, verdict.New(verdict.Unrun, http.StatusBadRequest, "the Idempotency-Key header must be one value of 1 to 256 bytes")
+	}
+	key := mark.Key{Account: head.Account, Key: values[0]}
+	attempt, outcome := e.guard.Begin(ctx, key, digest(head, replay))
+	switch o := outcome.(type) {
+	case mark.Fresh:
+		return e.run(ctx, head, replay, key, attempt)
+	case mark.Known:
+		return repeated(o.Answer), nil
+	case mark.Running:
+		return nil, verdict.New(verdict.Maybe, http.StatusConflict, "a request with this Idempotency-Key may have run or is running")
+	case mark.Mismatch:
+		return nil, verdict.New(verdict.Unrun, http.StatusUnprocessableEntity, "the Idempotency-Key was used for another request")
+	case mark.Refused:
+		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, o.Reason).After(guardWait)
+	default:
+		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, fmt.Sprintf("unknown outcome %T", o))
+	}
+}
+
+// run forwards an attempt that was let through and tells the guard how it ended.
+func (e *Entry) run(ctx context.Context, head call.Head, replay *replayBody, key mark.Key, attempt mark.Attempt) (*call.Answer, error) {
+	answer, err := e.forward(ctx, head, replay)
+	if err != nil {
+		if verdict.Of(err) == verdict.Unrun {
+			e.guard.Cancel(context.WithoutCancel(ctx), key, attempt)
+		}
+		return nil, err
+	}
+	answer.Body = &kept{ReadCloser: answer.Body, done: func(body []byte) {
+		e.guard.Finish(key, attempt, &mark.Answer{Status: answer.Status, Header: answer.Header, Body: body})
+	}}
+	return answer, nil
+}
+
+// repeated is the first answer once more.
+func repeated(a mark.Answer) *call.Answer {
+	return &call.Answer{
+		Status: a.Status,
+		Header: a.Header,
+		Length: units.Bytes(len(a.Body)),
+		Body:   io.NopCloser(bytes.NewReader(a.Body)),
+	}
+}
+
+// digest tells requests apart. A body that is too large to be kept counts by its
+// length only.
+func digest(head call.Head, replay *replayBody) ids.Hash {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%s\n%s\n%s\n%d\n", head.Method, head.Host, head.Target, head.Length)
+	sum.Write(replay.kept)
+	return ids.Hash(hex.EncodeToString(sum.Sum(nil)))
+}
+
+// kept is an answer's body that is handed on once it was read whole and is small.
+type kept struct {
+	io.ReadCloser
+	seen  bytes.Buffer
+	large bool
+	done  func([]byte)
+}
+
+// Read implements io.Reader.
+func (k *kept) Read(p []byte) (int, error) {
+	n, err := k.ReadCloser.Read(p)
+	if units.Bytes(k.seen.Len()+n) > maxKeptAnswer {
+		k.large = true
+	}
+	if !k.large {
+		k.seen.Write(p[:n])
+	}
+	if err == io.EOF && !k.large && k.done != nil {
+		k.done(k.seen.Bytes())
+		k.done = nil
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/guard/answer.go
@@ -0,0 +1,100 @@
+package guard
+
+import (
+	"context"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+	"balsamwharf.example/balsamwharf/internal/message"
+)
+
+// Began answers a GuardBegin of another daemon.
+func (g *Guard) Began(ctx context.Context, m message.GuardBegin) message.GuardBegan {
+	return beganOf(g.Decide(ctx, m))
+}
+
+// Look answers a new guard. From now on this daemon takes part in no grant under
+// a roster older than the asker's.
+func (g *Guard) Look(m message.GuardLook) message.GuardLooked {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Common.Clock.Now()
+	g.floor = max(g.floor, m.Version)
+	_, incarnation := g.standing.Self()
+	note, found := g.book.Find(now, m.Key)
+	rest, reaches := g.uncovered(now, m.Key)
+	complete := !found && reaches && len(rest) == 0 && g.sees(m.Version)
+	return message.GuardLooked{Incarnation: incarnation, Found: found, Note: note, Complete: complete}
+}
+
+// sees reports whether the newest roster that this daemon acts on is the asker's,
+// so that its memory of rosters has no gap before it.
+func (g *Guard) sees(version ids.Offset) bool {
+	return g.standing.Confirmed() && g.standing.Roster().Version == version
+}
+
+// Copy keeps a note for the guard under the roster that this daemon acts on.
+func (g *Guard) Copy(m message.GuardCopy) message.GuardCopied {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Common.Clock.Now()
+	r, ok := g.seat(now)
+	self, _ := g.standing.Self()
+	to := pair(m.Key, r)
+	if !ok || len(to) < 2 || to[1] != self || r.Version != m.Version || g.floor != m.Version {
+		return message.GuardCopied{}
+	}
+	old, kept := g.book.Copy(now, m.Key, m.Note)
+	g.Common.Invariant.Check(g.book.Whole(), "one note for each idempotency key")
+	return message.GuardCopied{Kept: kept, Found: old.Digest != "", Note: old}
+}
+
+// End notes how an attempt ended and tells the second daemon.
+func (g *Guard) End(ctx context.Context, m message.GuardEnd) message.GuardEnded {
+	g.mu.Lock()
+	if m.Answer == nil {
+		g.book.Cancel(m.Key, m.Attempt)
+	} else {
+		g.book.Finish(g.Common.Clock.Now(), m.Key, m.Attempt, m.Answer)
+	}
+	g.mu.Unlock()
+	to := pair(m.Key, g.standing.Roster())
+	self, _ := g.standing.Self()
+	if !m.Passed && len(to) > 1 && to[1] != self {
+		m.Passed = true
+		_, _ = g.call(ctx, to[1], m)
+	}
+	return message.GuardEnded{}
+}
+
+func beganOf(o mark.Outcome) message.GuardBegan {
+	switch o := o.(type) {
+	case mark.Fresh:
+		return message.GuardBegan{State: message.GuardFresh}
+	case mark.Known:
+		return message.GuardBegan{State: message.GuardKnown, Answer: o.Answer}
+	case mark.Running:
+		return message.GuardBegan{State: message.GuardRunning}
+	case mark.Mismatch:
+		return message.GuardBegan{State: message.GuardMismatch}
+	case mark.Refused:
+		return message.GuardBegan{State: message.GuardRefused, Reason: o.Reason}
+	default:
+		return message.GuardBegan{State: message.GuardRefused}
+	}
+}
+
+func outcomeOf(m message.GuardBegan) mark.Outcome {
+	switch m.State {
+	case message.GuardFresh:
+		return mark.Fresh{}
+	case message.GuardKnown:
+		return mark.Known{Answer: m.Answer}
+	case message.GuardRunning:
+		return mark.Running{}
+	case message.GuardMismatch:
+		return mark.Mismatch{}
+	default:
+		return mark.Refused{Reason: m.Reason}
+	}
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,206 @@
+// Package guard lets a request with an Idempotency-Key run at most once.
+//
+// # Usage
+//
+//	attempt, outcome := g.Begin(ctx, mark.Key{Account: a, Key: k}, digest)
+//	if _, ok := outcome.(mark.Fresh); ok {
+//		answer := run()
+//		g.Finish(key, attempt, answer) // or g.Cancel(ctx, key, attempt)
+//	}
+//
+// Each key has a guard daemon and a copy in another data centre, by rendezvous
+// hashing over the roster in force. An attempt runs only after both have noted it.
+package guard
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/share"
+	"balsamwharf.example/balsamwharf/internal/standing"
+	"balsamwharf.example/balsamwharf/internal/tenure"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	// Window is how long a key is remembered.
+	Window      = 10 * time.Minute
+	maxNotes    = 50000
+	answerSpace = 16 << 20
+	// observe is the period of looking at the roster; a longer pause than
+	// observeGap may have hidden a roster.
+	observe    = 100 * time.Millisecond
+	observeGap = 500 * time.Millisecond
+	// rememberedRosters bounds the memory of rosters; with more of them within the
+	// window, keys whose guard changed are refused.
+	rememberedRosters = 64
+	callTimeout       = time.Second
+	// steadyTime is how long a key's pair waits after it changed. A daemon that is
+	// confirmed sees every roster that lasts as long.
+	steadyTime = 2*confirm.Period + observeGap
+)
+
+// Beginning tells whether a roster was the first of the fleet, so that no key can
+// have been used before it. A standing.Standing may implement it.
+type Beginning interface {
+	First(version ids.Offset) bool
+}
+
+// Guard asks for attempts at this daemon and answers for the keys that it guards.
+type Guard struct {
+	Common *common.Common
+
+	standing standing.Standing
+	peers    peer.Caller
+	ctx      context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	number   atomic.Uint64
+
+	mu     sync.Mutex
+	book   mark.Book
+	tenure tenure.Tenure
+	first  bool
+	floor  ids.Offset
+	made   uint64
+}
+
+// Name implements service.Service.
+func (g *Guard) Name() service.Name { return "guard" }
+
+// Needs implements service.Service.
+func (g *Guard) Needs() []service.Name { return []service.Name{"timer", "confirm", "dial"} }
+
+// Start implements service.Service.
+func (g *Guard) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if g.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+		return err
+	}
+	if g.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	g.book = mark.Book{Window: Window, Limit: maxNotes, Space: answerSpace}
+	g.tenure = tenure.Tenure{Gap: observeGap, Limit: rememberedRosters}
+	g.ctx, g.cancel = context.WithCancel(ctx)
+	g.tasks.Go(g.run)
+	return nil
+}
+
+// Stop ends the tasks.
+func (g *Guard) Stop(context.Context) error {
+	g.cancel()
+	g.tasks.Wait()
+	return nil
+}
+
+func (g *Guard) run() {
+	tick := g.Common.Clock.Every(observe)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			g.mu.Lock()
+			g.seat(g.Common.Clock.Now())
+			g.mu.Unlock()
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+// seat observes the roster; it is false when this daemon may not act.
+func (g *Guard) seat(now units.Instant) (roster.Roster, bool) {
+	if !g.standing.Confirmed() {
+		return roster.Roster{}, false
+	}
+	r := g.standing.Roster()
+	if len(r.Entries) == 0 {
+		return r, false
+	}
+	change := g.tenure.Observe(now, r)
+	if begin, ok := g.standing.(Beginning); ok && change != tenure.Same {
+		g.first = (g.first && change == tenure.Next) || begin.First(r.Version)
+	}
+	g.floor = max(g.floor, r.Version)
+	self, incarnation := g.standing.Self()
+	e, ok := r.Find(self)
+	return r, ok && e.Incarnation == incarnation
+}
+
+// pair returns the guard and the copy of a key.
+func pair(key mark.Key, r roster.Roster) []ids.Daemon {
+	return share.Spread("guard/"+string(key.Account)+"/"+key.Key, r, 2)
+}
+
+// Begin asks the key's guard whether this attempt may run.
+func (g *Guard) Begin(ctx context.Context, key mark.Key, digest ids.Hash) (mark.Attempt, mark.Outcome) {
+	self, incarnation := g.standing.Self()
+	attempt := mark.Attempt{Daemon: self, Incarnation: incarnation, Number: g.number.Add(1)}
+	m := message.GuardBegin{Key: key, Digest: digest, Attempt: attempt}
+	to := pair(key, g.standing.Roster())
+	if len(to) == 0 {
+		return attempt, mark.Refused{Reason: "no roster is in force"}
+	}
+	if to[0] == self {
+		return attempt, g.Decide(ctx, m)
+	}
+	reply, err := g.call(ctx, to[0], m)
+	began, ok := reply.(message.GuardBegan)
+	if err != nil || !ok {
+		g.tasks.Go(func() { g.Cancel(g.ctx, key, attempt) })
+		return attempt, mark.Refused{Reason: "the guard of the idempotency key does not answer"}
+	}
+	return attempt, outcomeOf(began)
+}
+
+// Finish notes the answer of an attempt, in the background. A nil answer is one
+// that is not kept; repeats then get the verdict maybe.
+func (g *Guard) Finish(key mark.Key, attempt mark.Attempt, a *mark.Answer) {
+	if a == nil {
+		return
+	}
+	g.tasks.Go(func() { g.end(g.ctx, message.GuardEnd{Key: key, Attempt: attempt, Answer: a}) })
+}
+
+// Cancel forgets an attempt that did not run, so that a repeat may.
+func (g *Guard) Cancel(ctx context.Context, key mark.Key, attempt mark.Attempt) {
+	g.end(ctx, message.GuardEnd{Key: key, Attempt: attempt})
+}
+
+func (g *Guard) end(ctx context.Context, m message.GuardEnd) {
+	self, _ := g.standing.Self()
+	to := pair(m.Key, g.standing.Roster())
+	if len(to) == 0 {
+		return
+	}
+	if to[0] == self {
+		g.End(ctx, m)
+		return
+	}
+	_, _ = g.call(ctx, to[0], m)
+}
+
+func (g *Guard) call(ctx context.Context, to ids.Daemon, m message.Message) (message.Message, error) {
+	ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
+	defer cancel()
+	return g.peers.Call(ctx, to, m)
+}
+
+// Notes returns how many keys are noted here.
+func (g *Guard) Notes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.book.Len()
+}
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,192 @@
+package guard_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/guard"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+)
+
+// steady is when the first roster's guards let attempts run.
+const steady = 10 * time.Second
+
+func schoolKey(k string) mark.Key { return mark.Key{Account: "andrade/school", Key: k} }
+
+// A repeat gets what the first attempt's state allows, at every daemon.
+func TestRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 5)
+		time.Sleep(steady)
+		attempt, outcome := w.try(0, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Fresh{}, outcome)
+		for i := range w.daemons {
+			_, outcome = w.try(i, "k", "a")
+			must.Eq[mark.Outcome](t, mark.Running{}, outcome)
+			_, outcome = w.try(i, "k", "b")
+			must.Eq[mark.Outcome](t, mark.Mismatch{}, outcome)
+		}
+		answer := mark.Answer{Status: 201, Body: []byte("done")}
+		w.daemons[0].guard.Finish(schoolKey("k"), attempt, &answer)
+		time.Sleep(time.Second)
+		for i := range w.daemons {
+			_, outcome = w.try(i, "k", "a")
+			must.Eq[mark.Outcome](t, mark.Known{Answer: answer}, outcome)
+		}
+		time.Sleep(guard.Window)
+		_, outcome = w.try(1, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Fresh{}, outcome)
+	})
+}
+
+// An attempt that did not run leaves the key free.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 5)
+		time.Sleep(steady)
+		attempt, _ := w.try(0, "k", "a")
+		w.daemons[0].guard.Cancel(context.Background(), schoolKey("k"), attempt)
+		_, outcome := w.try(1, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Fresh{}, outcome)
+		w.daemons[0].guard.Cancel(context.Background(), schoolKey("k"), attempt)
+		_, outcome = w.try(2, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Running{}, outcome)
+	})
+}
+
+// After each single daemon is lost, the answer is still known; after both of the
+// pair are lost, attempts are refused until the window is over.
+func TestLostGuards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6)
+		time.Sleep(steady)
+		attempt, _ := w.try(0, "k", "a")
+		w.daemons[0].guard.Finish(schoolKey("k"), attempt, &mark.Answer{Status: 200})
+		time.Sleep(time.Second)
+		var holders []int
+		for i, d := range w.daemons {
+			if d.guard.Notes() == 1 {
+				holders = append(holders, i)
+			}
+		}
+		must.SliceLen(t, 2, holders)
+		w.restart(holders[0])
+		w.publish()
+		time.Sleep(steady)
+		_, outcome := w.try(3, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Known{Answer: mark.Answer{Status: 200}}, outcome)
+		for i := range w.daemons {
+			if w.daemons[i].guard.Notes() == 1 {
+				w.restart(i)
+			}
+		}
+		w.publish()
+		time.Sleep(steady)
+		_, outcome = w.try(3, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Refused{Reason: "it can't be known whether the idempotency key was used"}, outcome)
+		time.Sleep(guard.Window)
+		_, outcome = w.try(3, "k", "a")
+		must.Eq[mark.Outcome](t, mark.Fresh{}, outcome)
+	})
+}
+
+// Random one-way cuts, absences from the log, late messages, restarts and
+// rosters: no key runs twice within its window.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	fresh := 0
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 6)
+			w.rng = rand.New(rand.NewPCG(seed, 3))
+			w.late = true
+			time.Sleep(steady)
+			for step := range 120 {
+				w.fault()
+				time.Sleep(time.Duration(w.draw(2500)) * time.Millisecond)
+				if step%10 == 0 {
+					w.heal()
+				}
+				for range 3 {
+					key := fmt.Sprint(step/30, "-", w.draw(4))
+					w.use(w.draw(6), key)
+				}
+			}
+			for key, n := range w.runs {
+				must.LessEq(t, 1, n, must.Sprintf("key %s ran more than once", key))
+			}
+			fresh += len(w.runs)
+		})
+	}
+	must.Positive(t, fresh)
+	t.Logf("%d keys ran", fresh)
+}
+
+// use tries a key and sometimes finds that the attempt did not run after all.
+func (w *world) use(i int, key string) {
+	attempt, outcome := w.try(i, key, "a")
+	if _, ok := outcome.(mark.Fresh); ok && w.draw(3) == 0 {
+		w.mu.Lock()
+		w.runs[key]--
+		w.mu.Unlock()
+		w.daemons[i].guard.Cancel(context.Background(), schoolKey(key), attempt)
+	}
+}
+
+func (w *world) draw(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+func (w *world) restart(i int) {
+	old := w.daemons[i]
+	must.NoError(w.t, old.kern.Stop(5*time.Second))
+	fresh := w.start(i, old.entry.Incarnation+1)
+	w.mu.Lock()
+	w.daemons[i] = fresh
+	w.mu.Unlock()
+}
+
+// fault changes one thing in the world.
+func (w *world) fault() {
+	i, j := w.draw(6), w.draw(6)
+	d := w.daemons[i]
+	switch w.draw(8) {
+	case 0, 1:
+		way := [2]ids.Daemon{d.entry.Daemon, w.daemons[j].entry.Daemon}
+		w.mu.Lock()
+		w.cut[way] = !w.cut[way]
+		w.mu.Unlock()
+	case 2:
+		d.mu.Lock()
+		d.away = !d.away
+		d.mu.Unlock()
+	case 3:
+		if w.draw(4) == 0 {
+			w.restart(i)
+		}
+	case 4:
+		w.publish()
+	case 5:
+		w.publish(w.rng.Perm(6)[:2+w.draw(5)]...)
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	w.mu.Lock()
+	w.cut = map[[2]ids.Daemon]bool{}
+	w.mu.Unlock()
+	for _, d := range w.daemons {
+		d.mu.Lock()
+		d.away = false
+		d.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/guard/world_test.go
@@ -0,0 +1,211 @@
+package guard_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/guard"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	period = 2 * time.Second
+	delay  = time.Millisecond
+)
+
+var errLost = errors.New("lost")
+
+// world is some daemons' guards over a fake network. A roster is in force two
+// seconds after it is published.
+type world struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	daemons []*daemon
+	rosters []published
+	cut     map[[2]ids.Daemon]bool
+	// late makes some messages that get no answer arrive long after.
+	late bool
+	runs map[string]int
+}
+
+type published struct {
+	roster roster.Roster
+	at     time.Time
+}
+
+type daemon struct {
+	world *world
+	entry roster.Entry
+	kern  *kernel.Kernel
+	guard *guard.Guard
+
+	mu     sync.Mutex
+	away   bool
+	asked  time.Time
+	roster roster.Roster
+}
+
+func newWorld(t *testing.T, n int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(1, 2)), cut: map[[2]ids.Daemon]bool{}, runs: map[string]int{}}
+	for i := range n {
+		w.daemons = append(w.daemons, w.start(i, 1))
+	}
+	w.publish()
+	t.Cleanup(func() {
+		for _, d := range w.daemons {
+			must.NoError(t, d.kern.Stop(5*time.Second))
+		}
+	})
+	return w
+}
+
+func (w *world) start(i int, run ids.Incarnation) *daemon {
+	d := &daemon{world: w, kern: &kernel.Kernel{}, entry: roster.Entry{
+		Daemon: ids.Daemon(fmt.Sprintf("vm%d", i)), Incarnation: run, Centre: ids.Centre(fmt.Sprintf("dc%d", i%3)),
+	}}
+	c := common.Discard()
+	d.guard = &guard.Guard{Common: c}
+	for _, s := range []service.Service{c.Clock, named{"confirm", d}, named{"dial", d}, d.guard} {
+		d.kern.Add(s)
+	}
+	must.NoError(w.t, d.kern.Start(context.Background()))
+	return d
+}
+
+// named makes a daemon a service under one more name.
+type named struct {
+	name service.Name
+	*daemon
+}
+
+func (n named) Name() service.Name                        { return n.name }
+func (named) Needs() []service.Name                       { return nil }
+func (named) Start(context.Context, service.Finder) error { return nil }
+func (named) Stop(context.Context) error                  { return nil }
+func (d *daemon) Self() (ids.Daemon, ids.Incarnation)     { return d.entry.Daemon, d.entry.Incarnation }
+func (d *daemon) First(v ids.Offset) bool                 { return v == 1 }
+func (d *daemon) Send(context.Context, ids.Daemon, call.Head, io.Reader) (*call.Answer, error) {
+	return nil, errLost
+}
+
+func (d *daemon) refresh() {
+	if d.away || time.Since(d.asked) < period/4 {
+		return
+	}
+	d.asked = time.Now()
+	d.world.mu.Lock()
+	defer d.world.mu.Unlock()
+	for _, p := range d.world.rosters {
+		if time.Since(p.at) >= period {
+			d.roster = p.roster
+		}
+	}
+}
+
+func (d *daemon) Confirmed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	return time.Since(d.asked) < period
+}
+
+func (d *daemon) Roster() roster.Roster {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh()
+	return d.roster
+}
+
+// Call implements peer.Caller with loss in each direction and late arrivals.
+func (d *daemon) Call(ctx context.Context, to ids.Daemon, m message.Message) (message.Message, error) {
+	w := d.world
+	time.Sleep(delay)
+	w.mu.Lock()
+	lost := w.cut[[2]ids.Daemon{d.entry.Daemon, to}]
+	back := w.cut[[2]ids.Daemon{to, d.entry.Daemon}]
+	late := w.late && w.rng.IntN(2) == 0
+	var peer *daemon
+	for _, other := range w.daemons {
+		if other.entry.Daemon == to {
+			peer = other
+		}
+	}
+	w.mu.Unlock()
+	if lost || peer == nil {
+		if late && peer != nil {
+			time.AfterFunc(3*time.Second, func() { peer.answer(context.Background(), m) })
+		}
+		<-ctx.Done()
+		return nil, errLost
+	}
+	reply := peer.answer(ctx, m)
+	if back {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	time.Sleep(delay)
+	return reply, nil
+}
+
+func (d *daemon) answer(ctx context.Context, m message.Message) message.Message {
+	switch m := m.(type) {
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m)
+	case message.GuardLook:
+		return d.guard.Look(m)
+	case message.GuardCopy:
+		return d.guard.Copy(m)
+	case message.GuardEnd:
+		return d.guard.End(ctx, m)
+	default:
+		panic(fmt.Sprintf("unexpected %T", m))
+	}
+}
+
+// publish makes a roster of the daemons given by their places, or of all.
+func (w *world) publish(only ...int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := roster.Roster{Version: ids.Offset(len(w.rosters) + 1)}
+	for i, d := range w.daemons {
+		keep := len(only) == 0
+		for _, n := range only {
+			keep = keep || n == i
+		}
+		if keep {
+			r.Entries = append(r.Entries, d.entry)
+		}
+	}
+	w.rosters = append(w.rosters, published{roster: r, at: time.Now()})
+}
+
+// try begins an attempt at daemon i and counts it when it may run.
+func (w *world) try(i int, key string, digest ids.Hash) (mark.Attempt, mark.Outcome) {
+	w.mu.Lock()
+	d := w.daemons[i]
+	w.mu.Unlock()
+	attempt, outcome := d.guard.Begin(context.Background(), mark.Key{Account: "andrade/school", Key: key}, digest)
+	if _, ok := outcome.(mark.Fresh); ok {
+		w.mu.Lock()
+		w.runs[key]++
+		w.mu.Unlock()
+	}
+	return attempt, outcome
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -10,19 +10,27 @@
 type kind string
 
 const (
-	kindRequest  kind = "request"
-	kindReply    kind = "reply"
-	kindRefusal  kind = "refusal"
-	kindAnnounce kind = "announce"
-	kindNoted    kind = "noted"
-	kindBorrow   kind = "borrow"
-	kindLent     kind = "lent"
-	kindProbe    kind = "probe"
-	kindProbed   kind = "probed"
-	kindPiece    kind = "piece"
-	kindFetch    kind = "fetch"
-	kindRecords  kind = "records"
-	kindPull     kind = "pull"
+	kindRequest     kind = "request"
+	kindReply       kind = "reply"
+	kindRefusal     kind = "refusal"
+	kindAnnounce    kind = "announce"
+	kindNoted       kind = "noted"
+	kindBorrow      kind = "borrow"
+	kindLent        kind = "lent"
+	kindProbe       kind = "probe"
+	kindProbed      kind = "probed"
+	kindPiece       kind = "piece"
+	kindFetch       kind = "fetch"
+	kindRecords     kind = "records"
+	kindPull        kind = "pull"
+	kindGuardBegin  kind = "guardbegin"
+	kindGuardBegan  kind = "guardbegan"
+	kindGuardLook   kind = "guardlook"
+	kindGuardLooked kind = "guardlooked"
+	kindGuardCopy   kind = "guardcopy"
+	kindGuardCopied kind = "guardcopied"
+	kindGuardEnd    kind = "guardend"
+	kindGuardEnded  kind = "guardended"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -53,6 +61,22 @@
 		return kindRecords, nil
 	case message.Pull:
 		return kindPull, nil
+	case message.GuardBegin:
+		return kindGuardBegin, nil
+	case message.GuardBegan:
+		return kindGuardBegan, nil
+	case message.GuardLook:
+		return kindGuardLook, nil
+	case message.GuardLooked:
+		return kindGuardLooked, nil
+	case message.GuardCopy:
+		return kindGuardCopy, nil
+	case message.GuardCopied:
+		return kindGuardCopied, nil
+	case message.GuardEnd:
+		return kindGuardEnd, nil
+	case message.GuardEnded:
+		return kindGuardEnded, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -86,6 +110,22 @@
 		return decodeAs[message.Records](body)
 	case kindPull:
 		return decodeAs[message.Pull](body)
+	case kindGuardBegin:
+		return decodeAs[message.GuardBegin](body)
+	case kindGuardBegan:
+		return decodeAs[message.GuardBegan](body)
+	case kindGuardLook:
+		return decodeAs[message.GuardLook](body)
+	case kindGuardLooked:
+		return decodeAs[message.GuardLooked](body)
+	case kindGuardCopy:
+		return decodeAs[message.GuardCopy](body)
+	case kindGuardCopied:
+		return decodeAs[message.GuardCopied](body)
+	case kindGuardEnd:
+		return decodeAs[message.GuardEnd](body)
+	case kindGuardEnded:
+		return decodeAs[message.GuardEnded](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
