--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -28,8 +28,10 @@
 	"balsamwharf.example/balsamwharf/internal/front"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/publish"
@@ -88,6 +90,8 @@
 	a.kernel.Add(&force.Force{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
 	a.kernel.Add(&seating.Seating{Common: c, Log: a.Log})
+	a.kernel.Add(&lender.Lender{Common: c})
+	a.kernel.Add(&guard.Guard{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,7 +19,9 @@
 	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -32,6 +34,8 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	lender     *lender.Lender
+	guard      *guard.Guard
 	relay      *relay.Relay
 	confirm    *confirm.Confirm
 }
@@ -47,6 +51,7 @@
 		"relay",
 		"confirm",
 	}
+	return []service.Name{"gatekeeper", "gossip", "lender", "relay", "guard"}
 }
 
 // Start implements service.Service.
@@ -57,6 +62,21 @@
 		kernel.Bind(f, "relay", &d.relay),
 		kernel.Bind(f, "confirm", &d.confirm),
 	)
+	var err error
+	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
+		return err
+	}
+	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
+		return err
+	}
+	if d.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
+		return err
+	}
+	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
+		return err
+	}
+	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
+	return err
 }
 
 // Stop implements service.Service.
@@ -68,10 +88,20 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(ctx context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Borrow:
+		return d.lender.Lend(from, m), nil
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m), nil
+	case message.GuardLook:
+		return d.guard.Look(m), nil
+	case message.GuardCopy:
+		return d.guard.Copy(m), nil
+	case message.GuardEnd:
+		return d.guard.End(ctx, m), nil
 	case message.Probe:
 		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
