--- a/internal/replay/frozen.go
+++ b/internal/replay/frozen.go
@@ -27,6 +27,7 @@
 	f.head = record.Snapshot{
 		As: s.offset, Logged: s.snapshot.As, Made: s.snapshot.Made,
 		Digest: uint64(s.Digest()), Recent: s.memory.list(),
+		Rosters: slices.Clone(s.rosters.kept), Since: s.rosters.since, Settled: s.rosters.settled,
 	}
 	for path, e := range s.sections {
 		f.places = append(f.places, frozenPlace{path: path, entry: e})
@@ -62,6 +63,7 @@
 	part.Part, part.Parts = i, f.Parts()
 	if i > 0 {
 		part.Recent = nil
+		part.Rosters = nil
 	}
 	from := i * record.PartSections
 	for _, p := range f.places[from:min(from+record.PartSections, len(f.places))] {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -48,6 +48,7 @@
 	memory   memory
 	digest   Digest
 	snapshot Taken
+	rosters  rosters
 }
 
 // Taken describes the newest complete snapshot on the log.
@@ -82,6 +83,8 @@
 	case record.Snapshot:
 		s.note(r)
 		return Skipped{}
+	case record.Roster:
+		return s.rosters.apply(at, r)
 	default:
 		return Skipped{}
 	}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -48,6 +48,12 @@
 	return nil, errorx.TimeoutElapsed.New("no peers")
 }
 
+// inForce stands for the service that tells what is in force.
+type inForce struct{ alone }
+
+func (inForce) Name() service.Name { return "force" }
+func (inForce) Newest() ids.Offset { return 0 }
+
 // start runs one daemon of a fleet, each in a data centre of its own.
 func start(t *testing.T, log platformlog.Log, i int) *tail.Tail {
 	t.Helper()
@@ -61,7 +67,7 @@
 	}
 	follower := &tail.Tail{Common: c, Log: log}
 	var k kernel.Kernel
-	for _, s := range []service.Service{c.Clock, members, alone{}, follower, &snapshot.Snapshot{Common: c, Log: log}} {
+	for _, s := range []service.Service{c.Clock, members, alone{}, inForce{}, follower, &snapshot.Snapshot{Common: c, Log: log}} {
 		k.Add(s)
 	}
 	must.NoError(t, k.Start(t.Context()))
