--- a/internal/app/view.go
+++ b/internal/app/view.go
@@ -9,6 +9,8 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 )
@@ -49,3 +51,12 @@
 	}
 	return g.Own()
 }
+
+// Roster returns the roster in force as this daemon knows it.
+func (a *App) Roster() roster.Roster {
+	s, err := kernel.Find[standing.Standing](&a.kernel, "confirm")
+	if err != nil {
+		return roster.Roster{}
+	}
+	return s.Roster()
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -111,6 +111,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	d.load.Begin()
 	script := make(chan error, 1)
 	go func() { script <- d.script(ctx) }()
 	go d.progress(ctx)
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -51,7 +51,8 @@
 	return err
 }
 
-// ready waits until every daemon knows every target.
+// ready waits until every daemon knows every target and a roster of all daemons
+// is in force.
 func (f *Fleet) ready() error {
 	deadline := time.Now().Add(readyTimeout)
 	for time.Now().Before(deadline) {
@@ -69,6 +70,9 @@
 		want[d.Service]++
 	}
 	for _, d := range f.Daemons {
+		if len(d.App.Roster().Entries) != len(f.Daemons) {
+			return false
+		}
 		for id, n := range want {
 			if d.App.Targets(id) != n {
 				return false
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,7 +12,12 @@
 // roster in force and by every newer one that was read: see Holds.
 package roster
 
-import "balsamwharf.example/balsamwharf/internal/ids"
+import (
+	"cmp"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
 
 // Roster is the list of daemons as of a record. The zero Roster is empty.
 type Roster struct {
@@ -38,12 +43,11 @@
 
 // Find returns the entry of a daemon.
 func (r Roster) Find(id ids.Daemon) (Entry, bool) {
-	for _, e := range r.Entries {
-		if e.Daemon == id {
-			return e, true
-		}
+	i, ok := slices.BinarySearchFunc(r.Entries, id, func(e Entry, id ids.Daemon) int { return cmp.Compare(e.Daemon, id) })
+	if !ok {
+		return Entry{}, false
 	}
-	return Entry{}, false
+	return r.Entries[i], true
 }
 
 // Daemons returns the names in order.
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	w := &workload.Workload{Bases: urls, Ledger: &l, Seed: 7}
+//	w.Begin()
 //	w.Run(ctx, sources) // until ctx ends and every answer has come
 package workload
 
@@ -56,9 +57,11 @@
 	Withdrawn bool
 }
 
+// Begin starts the clock of the run.
+func (w *Workload) Begin() { w.start = time.Now() }
+
 // Run sends until ctx ends or all sources are over, and waits for the answers.
 func (w *Workload) Run(ctx context.Context, sources []Source) {
-	w.start = time.Now()
 	w.client.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	var wg sync.WaitGroup
 	for i, s := range sources {
