Add balsam, the operators' client, and the daemon's interface for operators

get, set, remove, apply, diff, check, history, key, status, accounts, targets and report burn, each as text or JSON, with documented exit codes. An edit carries an id, so a second daemon can be tried after a lost reply.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -16,6 +16,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/accept"
 	"balsamwharf.example/balsamwharf/internal/announce"
+	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/certs"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/confirm"
@@ -33,6 +34,7 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/limit"
+	"balsamwharf.example/balsamwharf/internal/operators"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/publish"
 	"balsamwharf.example/balsamwharf/internal/relay"
@@ -54,6 +56,8 @@
 	Log      platformlog.Log
 	Logger   *zap.Logger
 	Sockets  Sockets
+	// Level is the level of Logger, which operators may change; nil fixes it.
+	Level *zap.AtomicLevel
 
 	common *common.Common
 	kernel kernel.Kernel
@@ -62,9 +66,10 @@
 // Sockets are listeners that are already open; nil ones are opened at the
 // addresses in the settings.
 type Sockets struct {
-	Callers  net.Listener
-	Announce net.Listener
-	Peers    net.PacketConn
+	Callers   net.Listener
+	Announce  net.Listener
+	Operators net.Listener
+	Peers     net.PacketConn
 }
 
 // Start starts the daemon's services.
@@ -97,6 +102,8 @@
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
 	a.kernel.Add(&accept.Accept{Common: c, Certs: a.Certs, Socket: a.Sockets.Peers})
 	a.kernel.Add(&announce.Announce{Common: c, Listener: a.Sockets.Announce})
+	a.kernel.Add(&burn.Burn{Common: c})
+	a.kernel.Add(&operators.Operators{Common: c, Log: a.Log, Certs: a.Certs, Level: a.Level, Listener: a.Sockets.Operators})
 	a.kernel.Add(&entry.Entry{Common: c})
 	a.kernel.Add(&front.Front{Common: c, Listener: a.Sockets.Callers})
 	if err := a.kernel.Start(context.WithoutCancel(ctx)); err != nil {
--- /dev/null
+++ b/internal/balsam/balsam_test.go
@@ -0,0 +1,127 @@
+package balsam_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/balsam"
+	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/fleet"
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// operator runs balsam against a fleet, as a person at a terminal would.
+type operator struct {
+	t     *testing.T
+	fleet *fleet.Fleet
+}
+
+// as runs a command with a credential and returns code, output and errors.
+func (o operator) as(credential string, args ...string) (balsam.Code, string, string) {
+	var out, errs bytes.Buffer
+	global := []string{"--credential", credential, "--team", "andrade", "--daemon", "http://127.0.0.1:1", "--daemon", o.fleet.Daemons[1].Operators}
+	code := balsam.Main(append(global, args...), &out, &errs)
+	return balsam.Code(code), out.String(), errs.String()
+}
+
+// do runs a command that must succeed and returns its output.
+func (o operator) do(credential string, args ...string) string {
+	o.t.Helper()
+	code, out, errs := o.as(credential, args...)
+	must.EqOp(o.t, balsam.OK, code, must.Sprint(args, out, errs))
+	return out
+}
+
+const (
+	root = fleet.RootCredential
+	team = "credential-of-andrade"
+)
+
+// An operator sets up a team, changes settings, and meets every kind of refusal.
+func TestOperatorsDay(t *testing.T) {
+	f, err := fleet.New(fleet.Plan{
+		Centres:  []ids.Centre{"north", "south"},
+		Services: []fleet.Service{{ID: "andrade/payments", Targets: 2, Slots: 4, Work: time.Millisecond}},
+	})
+	must.NoError(t, err)
+	t.Cleanup(f.Close)
+	o := operator{t: t, fleet: f}
+
+	o.do(root, "set", "teams/root", "credential="+string(bearer.HashOf(root)))
+	o.do(root, "set", "teams/andrade", "credential="+string(bearer.HashOf(team)))
+	o.do(root, "set", "teams/other", "credential="+string(bearer.HashOf("other")))
+
+	file := filepath.Join(t.TempDir(), "andrade.ini")
+	text := "[teams/andrade/services/payments]\nfloor = 50\n\n[teams/andrade/accounts/school]\nrate = 40\nburst = 80\n"
+	must.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	must.StrContains(t, o.do(team, "check", file), "2 sections are valid")
+	must.StrContains(t, o.do(team, "diff", file), "+ rate = 40")
+	must.StrContains(t, o.do(team, "apply", "--wait", file), "2 of 2 sections changed")
+	must.StrContains(t, o.do(team, "apply", file), "0 of 2 sections changed")
+	must.StrContains(t, o.do(team, "get", "accounts/school"), "burst = 80")
+
+	secret := strings.Split(o.do(team, "key", "grant", "school", "one"), "\n")[0]
+	must.StrContains(t, o.do(team, "key", "list"), "one")
+	must.StrNotContains(t, o.do(team, "--json", "get"), secret)
+	o.do(team, "key", "withdraw", "--wait", "one")
+	must.StrNotContains(t, o.do(team, "key", "list"), "one")
+
+	refusals := []struct {
+		name       string
+		credential string
+		args       []string
+		code       balsam.Code
+		says       string
+	}{
+		{"no credential", "", []string{"get"}, balsam.Denied, "BALSAM_CREDENTIAL"},
+		{"unknown credential", "nonsense", []string{"get"}, balsam.Denied, "not that of any team"},
+		{"another team's subtree", "other", []string{"set", "accounts/school", "rate=1"}, balsam.Denied, "team that owns"},
+		{"a bad value", team, []string{"set", "accounts/school", "rate=fast"}, balsam.Usage, `name "rate"`},
+		{"an unknown name", team, []string{"set", "accounts/school", "speed=1"}, balsam.Usage, "no such name"},
+		{"no such account", team, []string{"key", "grant", "nobody", "two"}, balsam.Usage, "does not exist"},
+		{"a path that is none", team, []string{"set", "accounts", "rate=1"}, balsam.Usage, "names no section"},
+		{"a missing argument", team, []string{"set"}, balsam.Usage, "required"},
+	}
+	for _, c := range refusals {
+		t.Run(c.name, func(t *testing.T) {
+			code, _, errs := o.as(c.credential, c.args...)
+			must.EqOp(t, c.code, code, must.Sprint(errs))
+			must.StrContains(t, errs, c.says)
+		})
+	}
+
+	f.Log.SetAway(true)
+	code, _, errs := o.as(team, "set", "accounts/school", "rate=41")
+	must.EqOp(t, balsam.Away, code)
+	must.StrContains(t, errs, "Nothing was changed")
+	f.Log.SetAway(false)
+
+	f.Log.LoseReplies(1)
+	o.do(team, "set", "accounts/school", "rate=42")
+	must.StrContains(t, o.do(team, "history", "accounts/school"), "42")
+	must.EqOp(t, 1, strings.Count(o.do(team, "history", "accounts/school"), "rate:42"))
+
+	must.StrContains(t, o.do(team, "status"), "roster")
+	must.StrContains(t, o.do(team, "targets", "andrade/payments"), "serving")
+	must.StrContains(t, o.do(team, "accounts"), "andrade/school")
+	must.StrContains(t, o.do(team, "completion"), "complete -F")
+	var report struct{ Daemons, Answered int }
+	must.NoError(t, json.Unmarshal([]byte(o.do(team, "--json", "report", "burn")), &report))
+	must.EqOp(t, 2, report.Answered)
+}
+
+func TestCheckNamesLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "bad.ini")
+	must.NoError(t, os.WriteFile(file, []byte("[teams/a/accounts/b]\nrate = 1\nburst = none\n"), 0o600))
+	var out, errs bytes.Buffer
+	must.EqOp(t, int(balsam.Usage), balsam.Main([]string{"check", file}, &out, &errs))
+	must.StrContains(t, errs.String(), "bad.ini:3")
+	must.StrContains(t, errs.String(), `name "burst"`)
+}
--- /dev/null
+++ b/internal/balsam/commands.go
@@ -0,0 +1,40 @@
+package balsam
+
+import "github.com/jessevdk/go-flags"
+
+// addCommands lists every command with its short description.
+func addCommands(p *flags.Parser, s *shell) {
+	add(p, "get", "Print sections", &get{shell: s})
+	add(p, "set", "Change names of a section, or make one", &set{shell: s})
+	add(p, "remove", "Remove a section", &remove{shell: s})
+	add(p, "apply", "Publish the sections of an INI file", &apply{shell: s})
+	add(p, "diff", "Show what apply would change", &diff{shell: s})
+	add(p, "check", "Check an INI file without a daemon", &check{shell: s})
+	add(p, "history", "List the edits that the log still keeps", &history{shell: s})
+	add(p, "status", "Show a daemon's view of the fleet", &status{shell: s})
+	add(p, "accounts", "List client accounts", &accounts{shell: s})
+	add(p, "targets", "List backend servers and their state", &targets{shell: s})
+	add(p, "completion", "Print a completion script for bash", &completion{shell: s})
+	key := add(p, "key", "Grant, withdraw and list keys", &struct{}{})
+	addTo(key, "grant", "Make a key and print it once", &keyGrant{shell: s})
+	addTo(key, "withdraw", "Withdraw a key", &keyWithdraw{shell: s})
+	addTo(key, "list", "List keys by name", &keyList{shell: s})
+	report := add(p, "report", "Reports", &struct{}{})
+	addTo(report, "burn", "Show how fast services spend their error budgets", &reportBurn{shell: s})
+}
+
+func add(p *flags.Parser, name, text string, data any) *flags.Command {
+	return must(p.AddCommand(name, text, text+".", data))
+}
+
+func addTo(c *flags.Command, name, text string, data any) {
+	must(c.AddCommand(name, text, text+".", data))
+}
+
+// must reports a mistake in the program's own command types.
+func must(c *flags.Command, err error) *flags.Command {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/balsam/get.go
@@ -0,0 +1,40 @@
+package balsam
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/pkg/api"
+)
+
+// get prints sections as INI.
+type get struct {
+	shell *shell
+	Args  struct {
+		Path string `positional-arg-name:"PATH" description:"Start of the paths to print; all when left out"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *get) Execute([]string) error {
+	list, err := c.shell.client.Sections(c.shell.ctx, c.shell.prefix(c.Args.Path))
+	if err != nil {
+		return err
+	}
+	return c.shell.print(list, func(w io.Writer) { writeINI(w, list) })
+}
+
+// writeINI prints sections in the form that apply reads.
+func writeINI(w io.Writer, list []api.Section) {
+	for i, s := range list {
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		fmt.Fprintf(w, "; version %d\n[%s]\n", s.Version, s.Path)
+		for _, name := range slices.Sorted(maps.Keys(s.Values)) {
+			fmt.Fprintf(w, "%s = %s\n", name, s.Values[name])
+		}
+	}
+}
--- /dev/null
+++ b/internal/balsam/view.go
@@ -0,0 +1,117 @@
+package balsam
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// history lists edits.
+type history struct {
+	shell *shell
+	Args  struct {
+		Path string `positional-arg-name:"PATH" description:"Start of the paths; all when left out"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *history) Execute([]string) error {
+	list, err := c.shell.client.History(c.shell.ctx, c.shell.prefix(c.Args.Path))
+	if err != nil {
+		return err
+	}
+	return c.shell.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "OFFSET\tRESULT\tPATH\tCHANGE")
+		for _, ch := range list {
+			what := "removed"
+			if !ch.Remove {
+				what = fmt.Sprint(ch.Values)
+			}
+			fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", ch.Offset, ch.Result, ch.Path, strings.TrimPrefix(what, "map"))
+		}
+	})
+}
+
+// status shows a daemon's view.
+type status struct{ shell *shell }
+
+// Execute implements flags.Commander.
+func (c *status) Execute([]string) error {
+	s, err := c.shell.client.Status(c.shell.ctx)
+	if err != nil {
+		return err
+	}
+	return c.shell.print(s, func(w io.Writer) {
+		fmt.Fprintf(w, "daemon\t%s in %s, %s\n", s.Daemon, s.Centre, s.Region)
+		fmt.Fprintf(w, "settings\toffset %d, in force up to %d\n", s.Offset, s.Newest)
+		fmt.Fprintf(w, "confirmed\t%s\n", yes(s.Confirmed))
+		fmt.Fprintf(w, "roster\t%d daemons, %d witnesses\n", s.Roster, s.Witnesses)
+		fmt.Fprintf(w, "fleet\t%d daemons in reach, %d lost\n", s.Known, s.Lost)
+		fmt.Fprintf(w, "assertions\t%d checked, %d failed\n", s.Checks, s.Broken)
+		fmt.Fprintf(w, "certificate\texpires %s\n", s.Expires)
+	})
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no: keyed requests are refused here until the settings are confirmed again"
+}
+
+// accounts lists client accounts.
+type accounts struct{ shell *shell }
+
+// Execute implements flags.Commander.
+func (c *accounts) Execute([]string) error {
+	list, err := c.shell.client.Accounts(c.shell.ctx)
+	if err != nil {
+		return err
+	}
+	return c.shell.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "ACCOUNT\tRATE\tBURST\tWEIGHT\tKEYS\tHOLDERS")
+		for _, a := range list {
+			fmt.Fprintf(w, "%s\t%g/s\t%d\t%d\t%d\t%s\n", a.Account, a.Rate, a.Burst, a.Weight, a.Keys, strings.Join(a.Holders, " "))
+		}
+	})
+}
+
+// targets lists backend servers.
+type targets struct {
+	shell *shell
+	Args  struct {
+		Service string `positional-arg-name:"SERVICE" description:"TEAM/NAME; all when left out"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *targets) Execute([]string) error {
+	list, err := c.shell.client.Targets(c.shell.ctx, c.Args.Service)
+	if err != nil {
+		return err
+	}
+	return c.shell.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "TARGET\tSERVICE\tSTATE\tSLOTS\tDAEMON\tDATA CENTRE")
+		for _, t := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", t.Target, t.Service, t.State, t.Slots, t.Daemon, t.Centre)
+		}
+	})
+}
+
+// completion prints a script for bash.
+type completion struct{ shell *shell }
+
+// completionScript asks the program itself, through the flags library.
+const completionScript = `_balsam() {
+  local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+  local IFS=$'\n'
+  COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+}
+complete -F _balsam balsam
+`
+
+// Execute implements flags.Commander.
+func (c *completion) Execute([]string) error {
+	_, err := io.WriteString(c.shell.out, completionScript)
+	return err
+}
--- a/internal/balsamd/balsamd.go
+++ b/internal/balsamd/balsamd.go
@@ -79,22 +79,22 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(set.Logging)
+	level, err := zap.ParseAtomicLevel(set.Logging.Level)
+	if err != nil {
+		return errorx.Decorate(err, "log level")
+	}
+	logger, err := newLogger(level)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log := &platformlog.Client{Base: set.Platform.Log}
-	a := &app.App{Settings: set, Certs: identity, Log: log, Logger: logger}
+	a := &app.App{Settings: set, Certs: identity, Log: log, Logger: logger, Level: &level}
 	return a.Run(ctx)
 }
 
-func newLogger(l settings.Logging) (*zap.Logger, error) {
-	level, err := zap.ParseAtomicLevel(l.Level)
-	if err != nil {
-		return nil, errorx.Decorate(err, "log level")
-	}
+func newLogger(level zap.AtomicLevel) (*zap.Logger, error) {
 	config := zap.NewProductionConfig()
 	config.Level = level
 	config.DisableStacktrace = true
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -166,3 +166,6 @@
 	})
 	return list[:min(topSpenders, len(list))]
 }
+
+// Percent returns the spender's share in percent.
+func (s Spender) Percent() float64 { return 100 * s.Share }
--- /dev/null
+++ b/internal/chart/chart.go
@@ -0,0 +1,117 @@
+// Package chart draws the report on service-level burn as one page without
+// outside parts.
+//
+// # Usage
+//
+//	page, err := chart.Page(lines, answered, daemons)
+package chart
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+
+	"github.com/joomcode/errorx"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"balsamwharf.example/balsamwharf/internal/burn"
+	"balsamwharf.example/balsamwharf/internal/window"
+)
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 5 * vg.Centimeter
+)
+
+// view is what the page shows.
+type view struct {
+	Answered, Daemons int
+	Services          []serviceView
+}
+
+// serviceView is one service with its plot.
+type serviceView struct {
+	burn.Line
+	Plot template.HTML
+}
+
+var page = template.Must(template.New("burn").Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Service-level burn</title>
+<style>
+body{font:14px sans-serif;margin:2em;max-width:60em}
+table{border-collapse:collapse;margin:.5em 0}
+td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}
+td:first-child,th:first-child{text-align:left}
+.page{color:#a00000}.ticket{color:#8a5a00}.quiet{color:#006020}
+</style></head><body>
+<h1>Service-level burn</h1>
+<p>Counts of {{.Answered}} of {{.Daemons}} daemons. A burn rate of 1 spends the error budget in exactly 30 days.</p>
+{{range .Services}}
+<h2>{{.Service}} <span class="{{.Alarm}}">{{.Alarm}}</span></h2>
+<table><tr><th>window</th><th>good</th><th>bad</th><th>burn rate</th></tr>
+{{range .Windows}}<tr><td>{{.Span}}</td><td>{{.Good}}</td><td>{{.Bad}}</td><td>{{printf "%.2f" .Rate}}</td></tr>{{end}}
+</table>
+{{if .Accounts}}<table><tr><th>client account</th><th>bad</th><th>share</th></tr>
+{{range .Accounts}}<tr><td>{{if .Name}}{{.Name}}{{else}}(none){{end}}</td><td>{{.Bad}}</td><td>{{printf "%.0f%%" .Percent}}</td></tr>{{end}}
+</table>{{end}}
+{{if .Targets}}<table><tr><th>target</th><th>bad</th><th>share</th></tr>
+{{range .Targets}}<tr><td>{{if .Name}}{{.Name}}{{else}}(none){{end}}</td><td>{{.Bad}}</td><td>{{printf "%.0f%%" .Percent}}</td></tr>{{end}}
+</table>{{end}}
+{{.Plot}}
+{{else}}<p>No service has had a request yet.</p>{{end}}
+</body></html>
+`))
+
+// Page returns the report as HTML.
+func Page(lines []burn.Line, answered, daemons int) ([]byte, error) {
+	v := view{Answered: answered, Daemons: daemons}
+	for _, l := range lines {
+		svg, err := plotOf(l)
+		if err != nil {
+			return nil, errorx.Decorate(err, "plot of %s", l.Service)
+		}
+		v.Services = append(v.Services, serviceView{Line: l, Plot: template.HTML(svg)})
+	}
+	var b bytes.Buffer
+	if err := page.Execute(&b, v); err != nil {
+		return nil, errorx.Decorate(err, "write page")
+	}
+	return b.Bytes(), nil
+}
+
+// plotOf draws the burn rate of each minute of the last hour.
+func plotOf(l burn.Line) (string, error) {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s: burn rate by minute", l.Service)
+	p.X.Label.Text = "minutes ago"
+	p.Y.Min = 0
+	line, err := plotter.NewLine(points(l.Series, float64(l.Objective)))
+	if err != nil {
+		return "", err
+	}
+	p.Add(plotter.NewGrid(), line)
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", err
+	}
+	svg := b.Bytes()
+	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
+		svg = svg[i:] // an SVG inside HTML has no XML declaration
+	}
+	return string(svg), nil
+}
+
+func points(series []window.Count, objective float64) plotter.XYs {
+	budget := (100 - objective) / 100
+	list := make(plotter.XYs, 0, len(series))
+	for i, c := range series {
+		list = append(list, plotter.XY{X: float64(i - len(series) + 1), Y: c.BadShare() / budget})
+	}
+	return list
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/confirm"
@@ -34,6 +35,7 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	burn       *burn.Burn
 	lender     *lender.Lender
 	guard      *guard.Guard
 	relay      *relay.Relay
@@ -52,6 +54,7 @@
 		"confirm",
 		"lender",
 		"guard",
+		"burn",
 	}
 }
 
@@ -64,6 +67,7 @@
 		kernel.Bind(f, "confirm", &d.confirm),
 		kernel.Bind(f, "lender", &d.lender),
 		kernel.Bind(f, "guard", &d.guard),
+		kernel.Bind(f, "burn", &d.burn),
 	)
 }
 
@@ -90,6 +94,8 @@
 		return d.guard.Copy(m), nil
 	case message.GuardEnd:
 		return d.guard.End(ctx, m), nil
+	case message.Count:
+		return message.Counted{Tally: d.burn.Tally()}, nil
 	case message.Probe:
 		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
--- /dev/null
+++ b/internal/event/operators.go
@@ -0,0 +1,7 @@
+package event
+
+// Events 600 to 699: operators.
+var (
+	CredentialRefused = define(600, "credential", "An operator's call had no credential or one that covers no team. The credential itself is never logged.")
+	LevelChanged      = define(601, "level", "An operator changed the level of the log.")
+)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -147,13 +147,18 @@
 	if d.sockets.Announce, err = net.Listen("tcp", loopback); err != nil {
 		return errorx.Decorate(err, "listen for backend servers")
 	}
+	if d.sockets.Operators, err = net.Listen("tcp", loopback); err != nil {
+		return errorx.Decorate(err, "listen for operators")
+	}
 	if d.sockets.Peers, err = net.ListenPacket("udp", loopback); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
 	d.set.Listen.Callers = ids.Address(d.sockets.Callers.Addr().String())
 	d.set.Listen.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
 	d.set.Listen.Announce = ids.Address(d.sockets.Announce.Addr().String())
+	d.set.Listen.Operators = ids.Address(d.sockets.Operators.Addr().String())
 	d.Callers = "http://" + string(d.set.Listen.Callers)
+	d.Operators = "http://" + string(d.set.Listen.Operators)
 	d.announce = "http://" + string(d.set.Listen.Announce)
 	return nil
 }
--- /dev/null
+++ b/internal/operators/credential.go
@@ -0,0 +1,75 @@
+package operators
+
+import (
+	"net/http"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// scope is what a credential covers.
+type scope struct {
+	hash ids.Hash
+	team ids.Team
+	// first is set while there is no root credential yet: whoever comes first may
+	// set it.
+	first bool
+}
+
+// covers reports whether the credential may read the path.
+func (s scope) covers(path ids.Path) bool {
+	return s.team == replay.RootTeam || settings.TeamOf(path) == s.team
+}
+
+// covered serves a call that needs a credential.
+func (o *Operators) covered(call func(*http.Request, scope) (any, error)) http.HandlerFunc {
+	return open(func(r *http.Request) (any, error) {
+		s, err := o.scopeOf(r)
+		if err != nil {
+			return nil, err
+		}
+		return call(r, s)
+	})
+}
+
+// profiles serves a profile to holders of a credential.
+func (o *Operators) profiles(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := o.scopeOf(r); err != nil {
+			refuse(w, err)
+			return
+		}
+		serve(w, r)
+	}
+}
+
+// scopeOf finds the team whose credential the call carries.
+func (o *Operators) scopeOf(r *http.Request) (scope, error) {
+	secret, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || secret == "" {
+		o.Common.Warn(event.CredentialRefused, zap.String("from", r.RemoteAddr))
+		return scope{}, &refusal{http.StatusUnauthorized, "a credential is needed: pass --credential or set BALSAM_CREDENTIAL"}
+	}
+	s := scope{hash: bearer.HashOf(secret)}
+	found := false
+	o.tail.View(func(state *replay.State) { s.team, s.first, found = owner(state, s.hash) })
+	if !found {
+		o.Common.Warn(event.CredentialRefused, zap.String("from", r.RemoteAddr))
+		return scope{}, &refusal{http.StatusForbidden, "the credential is not that of any team"}
+	}
+	return s, nil
+}
+
+// owner finds the team with the credential's hash.
+func owner(state *replay.State, hash ids.Hash) (ids.Team, bool, bool) {
+	if _, ok := state.Team(replay.RootTeam); !ok {
+		return replay.RootTeam, true, true
+	}
+	return state.TeamBy(hash)
+}
--- /dev/null
+++ b/internal/operators/operators.go
@@ -0,0 +1,187 @@
+// Package operators serves the interface for operators: settings, status, reports,
+// metrics and profiles.
+//
+// # Usage
+//
+//	k.Add(&operators.Operators{Common: c, Log: log})
+//
+// A credential covers the subtree of its team; the root credential covers all.
+// Metrics and status need none. pkg/client is the client, pkg/api has the forms.
+package operators
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/burn"
+	"balsamwharf.example/balsamwharf/internal/certs"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/publish"
+	"balsamwharf.example/balsamwharf/internal/standing"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/pkg/api"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxBody           = 1 << 20
+)
+
+// Operators is the HTTP server for operators.
+type Operators struct {
+	Common *common.Common
+	Log    platformlog.Log
+	Certs  *certs.Certs
+	// Level changes the level of the daemon's log while it runs; nil fixes it.
+	Level *zap.AtomicLevel
+	// Listener is used instead of opening one at the settings' address.
+	Listener net.Listener
+
+	tail      *tail.Tail
+	publish   *publish.Publish
+	directory *directory.Directory
+	standing  standing.Standing
+	force     force
+	burn      *burn.Burn
+	peers     peer.Caller
+	server    *http.Server
+}
+
+// force tells which records are in force.
+type force interface {
+	InForce(at ids.Offset) bool
+	Newest() ids.Offset
+}
+
+// Name implements service.Service.
+func (o *Operators) Name() service.Name { return "operators" }
+
+// Needs implements service.Service.
+func (o *Operators) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "publish", "directory", "confirm", "force", "burn", "dial"}
+}
+
+// Start implements service.Service.
+func (o *Operators) Start(_ context.Context, f service.Finder) error {
+	if err := o.find(f); err != nil {
+		return err
+	}
+	if o.Listener == nil {
+		var err error
+		if o.Listener, err = net.Listen("tcp", string(o.Common.Settings.Listen.Operators)); err != nil {
+			return errorx.Decorate(err, "listen for operators")
+		}
+	}
+	o.server = &http.Server{Handler: o.mux(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	go o.serve()
+	return nil
+}
+
+func (o *Operators) find(f service.Finder) error {
+	var err error
+	if o.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	if o.publish, err = kernel.Find[*publish.Publish](f, "publish"); err != nil {
+		return err
+	}
+	if o.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if o.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+		return err
+	}
+	if o.force, err = kernel.Find[force](f, "force"); err != nil {
+		return err
+	}
+	if o.burn, err = kernel.Find[*burn.Burn](f, "burn"); err != nil {
+		return err
+	}
+	o.peers, err = kernel.Find[peer.Caller](f, "dial")
+	return err
+}
+
+func (o *Operators) serve() {
+	set := o.Common.Settings.Listen
+	var err error
+	if set.Cert != "" {
+		err = o.server.ServeTLS(o.Listener, set.Cert, set.Key)
+	} else {
+		err = o.server.Serve(o.Listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		o.Common.Warn(event.ListenFailed, zap.Error(err))
+	}
+}
+
+// Stop implements service.Service.
+func (o *Operators) Stop(ctx context.Context) error { return o.server.Shutdown(ctx) }
+
+// mux lists every call with what it needs.
+func (o *Operators) mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", open(o.status))
+	mux.HandleFunc("GET /v1/targets", open(o.targets))
+	mux.HandleFunc("GET /v1/force", open(o.inForce))
+	mux.HandleFunc("GET /v1/burn", open(o.report))
+	mux.HandleFunc("GET /v1/edits/{id}", open(o.lookup))
+	mux.HandleFunc("GET /v1/sections", o.covered(o.sections))
+	mux.HandleFunc("GET /v1/history", o.covered(o.history))
+	mux.HandleFunc("GET /v1/accounts", o.covered(o.accounts))
+	mux.HandleFunc("POST /v1/edits", o.covered(o.submit))
+	mux.HandleFunc("PUT /v1/level", o.covered(o.level))
+	mux.HandleFunc("GET /metrics", o.metrics)
+	mux.HandleFunc("GET /debug/pprof/", o.profiles(pprof.Index))
+	mux.HandleFunc("GET /debug/pprof/profile", o.profiles(pprof.Profile))
+	mux.HandleFunc("GET /debug/pprof/trace", o.profiles(pprof.Trace))
+	return mux
+}
+
+// answer is what a call returns as JSON, or an error.
+type answer func(r *http.Request) (any, error)
+
+// open serves a call that needs no credential.
+func open(call answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		result, err := call(r)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(result)
+	}
+}
+
+// refusal is an error with the HTTP status to answer.
+type refusal struct {
+	status int
+	detail string
+}
+
+// Error implements error.
+func (r *refusal) Error() string { return r.detail }
+
+func refuse(w http.ResponseWriter, err error) {
+	r := &refusal{status: http.StatusInternalServerError, detail: err.Error()}
+	errors.As(err, &r)
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(r.status)
+	_ = json.NewEncoder(w).Encode(api.Problem{Title: http.StatusText(r.status), Status: r.status, Detail: r.detail})
+}
--- /dev/null
+++ b/internal/operators/settings.go
@@ -0,0 +1,148 @@
+package operators
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/publish"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/pkg/api"
+)
+
+const (
+	historyPage  = 1000
+	historyLimit = 10_000
+)
+
+func (o *Operators) sections(r *http.Request, s scope) (any, error) {
+	prefix := r.URL.Query().Get("prefix")
+	list := []api.Section{}
+	o.tail.View(func(state *replay.State) {
+		for _, path := range state.Paths() {
+			if !under(string(path), prefix) || !s.covers(path) {
+				continue
+			}
+			e, _ := state.Get(path)
+			list = append(list, api.Section{Path: string(path), Version: uint64(e.Version), Values: e.Values()})
+		}
+	})
+	return list, nil
+}
+
+// under reports whether the path is the prefix or lies below it.
+func under(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	return prefix == "" || path == prefix || strings.HasPrefix(path, prefix+"/")
+}
+
+func (o *Operators) submit(r *http.Request, s scope) (any, error) {
+	var e api.Edit
+	decoder := json.NewDecoder(r.Body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&e); err != nil {
+		return nil, &refusal{http.StatusBadRequest, "the edit is not the expected JSON: " + err.Error()}
+	}
+	receipt, err := o.publish.Submit(r.Context(), record.Edit{
+		ID:         ids.Edit(e.ID),
+		Path:       ids.Path(e.Path),
+		Base:       ids.Offset(e.Base),
+		Credential: s.hash,
+		Values:     e.Values,
+		Remove:     e.Remove,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return receiptOf(receipt), nil
+}
+
+func (o *Operators) lookup(r *http.Request) (any, error) {
+	receipt, ok := o.publish.Lookup(ids.Edit(r.PathValue("id")))
+	if !ok {
+		return nil, &refusal{http.StatusNotFound, "no edit with this id was read from the log yet"}
+	}
+	return receiptOf(receipt), nil
+}
+
+func receiptOf(r publish.Receipt) api.Receipt {
+	out := api.Receipt{ID: string(r.ID), Offset: uint64(r.Offset)}
+	switch result := r.Result.(type) {
+	case publish.Accepted:
+		out.Result, out.Offset = api.Accepted, uint64(result.Version)
+	case publish.Conflict:
+		out.Result, out.Current, out.Values = api.Conflict, uint64(result.Current), result.Values
+		out.Reason = "the section changed after the version that the edit was based on"
+		if result.Removed {
+			out.Reason = "the section was removed meanwhile"
+		}
+	case publish.Denied:
+		out.Result, out.Reason = api.Denied, result.Reason
+	case publish.Invalid:
+		out.Result, out.Reason = api.Invalid, result.Reason
+	case publish.NotAccepted:
+		out.Result, out.Reason = api.Away, result.Reason
+	case publish.Unknown:
+		out.Result, out.Reason = api.Unknown, result.Reason
+	}
+	return out
+}
+
+func (o *Operators) inForce(r *http.Request) (any, error) {
+	at, err := strconv.ParseUint(r.URL.Query().Get("at"), 10, 64)
+	if err != nil {
+		return nil, &refusal{http.StatusBadRequest, "at must be an offset"}
+	}
+	return api.Force{Force: o.force.InForce(ids.Offset(at)), Newest: uint64(o.force.Newest())}, nil
+}
+
+// history reads the log, as far back as it keeps records.
+func (o *Operators) history(r *http.Request, s scope) (any, error) {
+	prefix := r.URL.Query().Get("prefix")
+	changes := []api.Change{}
+	from := ids.Offset(1)
+	for read := 0; read < historyLimit; {
+		page, err := o.page(r.Context(), from)
+		if err != nil {
+			return nil, &refusal{http.StatusServiceUnavailable, "the log service is away, so the history can't be read"}
+		}
+		if len(page.Items) == 0 {
+			return changes, nil
+		}
+		for _, item := range page.Items {
+			if c, ok := o.change(item, prefix, s); ok {
+				changes = append(changes, c)
+			}
+		}
+		read += len(page.Items)
+		from = page.Items[len(page.Items)-1].At + 1
+	}
+	return changes, nil
+}
+
+func (o *Operators) page(ctx context.Context, from ids.Offset) (platformlog.Page, error) {
+	ctx, cancel := o.Common.Clock.Within(ctx, o.Common.Settings.Platform.Timeout)
+	defer cancel()
+	return o.Log.Read(ctx, platformlog.Settings, from, historyPage, 0)
+}
+
+func (o *Operators) change(item platformlog.Item, prefix string, s scope) (api.Change, bool) {
+	rec, err := record.Decode(item.Data)
+	if err != nil {
+		return api.Change{}, false
+	}
+	e, ok := rec.(record.Edit)
+	if !ok || !under(string(e.Path), prefix) || !s.covers(e.Path) {
+		return api.Change{}, false
+	}
+	c := api.Change{Offset: uint64(item.At), ID: string(e.ID), Path: string(e.Path), Values: e.Values, Remove: e.Remove, Result: api.Unknown}
+	if receipt, ok := o.publish.Lookup(e.ID); ok {
+		c.Result = receiptOf(receipt).Result
+	}
+	return c, true
+}
--- /dev/null
+++ b/internal/operators/status.go
@@ -0,0 +1,107 @@
+package operators
+
+import (
+	"crypto/x509"
+	"net/http"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/pkg/api"
+)
+
+func (o *Operators) status(*http.Request) (any, error) {
+	roster := o.standing.Roster()
+	identity := o.Common.Settings.Identity
+	return api.Status{
+		Daemon:    string(identity.Daemon),
+		Centre:    string(identity.Centre),
+		Region:    string(identity.Region),
+		Offset:    uint64(o.offset()),
+		Newest:    uint64(o.force.Newest()),
+		Confirmed: o.standing.Confirmed(),
+		Roster:    len(roster.Entries),
+		Witnesses: len(roster.Witnesses()),
+		Known:     len(o.directory.Reachable()),
+		Lost:      len(o.directory.Missing()),
+		Broken:    o.Common.Invariant.Broken(),
+		Checks:    o.Common.Invariant.Checks(),
+		Expires:   expires(o.Certs.Own.Certificate),
+	}, nil
+}
+
+func (o *Operators) offset() ids.Offset {
+	var at ids.Offset
+	o.tail.View(func(s *replay.State) { at = s.Offset() })
+	return at
+}
+
+// expires returns the end of the first certificate in the chain.
+func expires(chain [][]byte) string {
+	if len(chain) == 0 {
+		return ""
+	}
+	cert, err := x509.ParseCertificate(chain[0])
+	if err != nil {
+		return ""
+	}
+	return cert.NotAfter.UTC().Format(time.RFC3339)
+}
+
+func (o *Operators) targets(r *http.Request) (any, error) {
+	want := ids.Service(r.URL.Query().Get("service"))
+	list := []api.Target{}
+	for _, m := range o.directory.Members() {
+		for _, t := range m.Targets {
+			if want == "" || t.Service == want {
+				list = append(list, targetOf(m, t, o.directory.Lost(m.Daemon)))
+			}
+		}
+	}
+	return list, nil
+}
+
+func targetOf(m member.Member, t member.Target, lost bool) api.Target {
+	state := "serving"
+	switch {
+	case lost:
+		state = "lost"
+	case m.Leaving || m.Gone || t.Leaving:
+		state = "leaving"
+	case t.Ejected:
+		state = "ejected"
+	}
+	return api.Target{
+		Target: string(t.ID), Service: string(t.Service), Daemon: string(m.Daemon),
+		Centre: string(m.Centre), Slots: int(t.Slots), State: state,
+	}
+}
+
+func (o *Operators) accounts(_ *http.Request, s scope) (any, error) {
+	list := []api.Account{}
+	o.tail.View(func(state *replay.State) {
+		keys := map[ids.Account]int{}
+		for _, path := range state.Paths() {
+			e, _ := state.Get(path)
+			team := settings.TeamOf(path)
+			switch v := e.Section.(type) {
+			case settings.Key:
+				keys[ids.AccountOf(team, v.Account)]++
+			case settings.Account:
+				if s.covers(path) {
+					list = append(list, accountOf(ids.AccountOf(team, settings.NameOf(path)), v))
+				}
+			}
+		}
+		for i := range list {
+			list[i].Keys = keys[ids.Account(list[i].Account)]
+		}
+	})
+	return list, nil
+}
+
+func accountOf(id ids.Account, a settings.Account) api.Account {
+	return api.Account{Account: string(id), Rate: float64(a.Rate), Burst: a.Burst, Weight: int(a.Weight)}
+}
--- /dev/null
+++ b/internal/settings/shared.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"errors"
+
+	"gopkg.in/ini.v1"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// Named is a section of the shared settings with its path.
+type Named struct {
+	Path    ids.Path
+	Section Section
+}
+
+// LoadShared reads sections of the shared settings from an INI file. It returns
+// every error, each with section, name and line.
+func LoadShared(file string, text []byte) ([]Named, error) {
+	parsed, err := parseINI(file, text)
+	if err != nil {
+		return nil, err
+	}
+	lines := lineIndex(text)
+	var list []Named
+	var errs []error
+	for _, s := range parsed.Sections() {
+		if s.Name() == ini.DefaultSection {
+			if len(s.Keys()) > 0 {
+				errs = append(errs, &Error{File: file, Name: s.Keys()[0].Name(), Line: lines[position{name: s.Keys()[0].Name()}], Reason: "stands before the first section"})
+			}
+			continue
+		}
+		section, err := Parse(ids.Path(s.Name()), s.KeysHash())
+		if err != nil {
+			errs = append(errs, locate(err, file, s.Name(), lines))
+			continue
+		}
+		list = append(list, Named{Path: ids.Path(s.Name()), Section: section})
+	}
+	return list, errors.Join(errs...)
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -32,6 +32,8 @@
 	formOf[message.Noted]("noted"),
 	formOf[message.Probe]("probe"),
 	formOf[message.Probed]("probed"),
+	formOf[message.Count]("count"),
+	formOf[message.Counted]("counted"),
 	formOf[message.Pull]("pull"),
 	formOf[message.Records]("records"),
 	formOf[message.Fetch]("fetch"),
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,164 @@
+// Package client speaks to the daemons' interface for operators.
+//
+// # Usage
+//
+//	c := &client.Client{Daemons: []string{"http://10.0.0.1:8082"}, Credential: secret}
+//	sections, err := c.Sections(ctx, "teams/andrade")
+//
+// A daemon that can't be reached is passed over for the next one. An edit carries
+// an ID, so that sending it to a second daemon can't apply it twice.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/dghubble/sling"
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/pkg/api"
+)
+
+// maxAnswer bounds one answer.
+const maxAnswer = 256 << 20
+
+// Client calls daemons. The zero Client has no daemons to call.
+type Client struct {
+	// Daemons are base URLs, tried in order.
+	Daemons []string
+	// Credential is a team's credential or the root credential.
+	Credential string
+	// Timeout bounds one call to one daemon; zero means 15 s.
+	Timeout time.Duration
+	// HTTP is the client used; the zero value works.
+	HTTP http.Client
+}
+
+const defaultTimeout = 15 * time.Second
+
+// ErrUnreachable means that no daemon answered.
+var ErrUnreachable = errorx.CommonErrors.NewType("unreachable")
+
+// Error is a daemon's refusal.
+type Error struct{ api.Problem }
+
+// Error implements error.
+func (e *Error) Error() string { return e.Detail }
+
+// Sections returns the sections whose paths start with the prefix.
+func (c *Client) Sections(ctx context.Context, prefix string) ([]api.Section, error) {
+	return get[[]api.Section](ctx, c, "v1/sections", url.Values{"prefix": {prefix}})
+}
+
+// Submit sends an edit and returns what became of it.
+func (c *Client) Submit(ctx context.Context, e api.Edit) (api.Receipt, error) {
+	var r api.Receipt
+	err := c.call(ctx, func(s *sling.Sling) *sling.Sling { return s.Post("v1/edits").BodyJSON(e) }, &r)
+	return r, err
+}
+
+// Lookup returns what became of an edit by its ID.
+func (c *Client) Lookup(ctx context.Context, id string) (api.Receipt, error) {
+	return get[api.Receipt](ctx, c, "v1/edits/"+url.PathEscape(id), nil)
+}
+
+// Force tells whether the record at the offset is in force.
+func (c *Client) Force(ctx context.Context, at uint64) (api.Force, error) {
+	return get[api.Force](ctx, c, "v1/force", url.Values{"at": {jsonNumber(at)}})
+}
+
+// History returns the edits of sections whose paths start with the prefix.
+func (c *Client) History(ctx context.Context, prefix string) ([]api.Change, error) {
+	return get[[]api.Change](ctx, c, "v1/history", url.Values{"prefix": {prefix}})
+}
+
+// Status describes the first daemon that answers.
+func (c *Client) Status(ctx context.Context) (api.Status, error) {
+	return get[api.Status](ctx, c, "v1/status", nil)
+}
+
+// Targets returns the targets of a service, or of all.
+func (c *Client) Targets(ctx context.Context, service string) ([]api.Target, error) {
+	return get[[]api.Target](ctx, c, "v1/targets", url.Values{"service": {service}})
+}
+
+// Accounts returns the client accounts that the credential covers.
+func (c *Client) Accounts(ctx context.Context) ([]api.Account, error) {
+	return get[[]api.Account](ctx, c, "v1/accounts", nil)
+}
+
+// Burn returns the report on service-level burn as the daemon gathered it.
+func (c *Client) Burn(ctx context.Context) (json.RawMessage, error) {
+	return get[json.RawMessage](ctx, c, "v1/burn", nil)
+}
+
+func jsonNumber(n uint64) string {
+	text, _ := json.Marshal(n)
+	return string(text)
+}
+
+func get[T any](ctx context.Context, c *Client, path string, query url.Values) (T, error) {
+	var into T
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	err := c.call(ctx, func(s *sling.Sling) *sling.Sling { return s.Get(path) }, &into)
+	return into, err
+}
+
+// call tries the daemons in order until one answers.
+func (c *Client) call(ctx context.Context, build func(*sling.Sling) *sling.Sling, into any) error {
+	if len(c.Daemons) == 0 {
+		return errorx.IllegalArgument.New("no daemon was named")
+	}
+	var last error
+	for _, base := range c.Daemons {
+		err := c.one(ctx, build(sling.New().Base(base+"/")), into)
+		var refusal *Error
+		if err == nil || errors.As(err, &refusal) || ctx.Err() != nil {
+			return err
+		}
+		last = errorx.Decorate(err, "daemon %s", base)
+	}
+	return ErrUnreachable.Wrap(last, "no daemon answered")
+}
+
+// one calls one daemon.
+func (c *Client) one(ctx context.Context, s *sling.Sling, into any) error {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := s.Set("Authorization", "Bearer "+c.Credential).Request()
+	if err != nil {
+		return err
+	}
+	resp, err := c.HTTP.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusalOf(resp.StatusCode, body)
+	}
+	return json.Unmarshal(body, into)
+}
+
+func refusalOf(status int, body []byte) error {
+	e := &Error{}
+	if json.Unmarshal(body, &e.Problem) != nil || e.Detail == "" {
+		e.Problem = api.Problem{Title: http.StatusText(status), Status: status, Detail: http.StatusText(status)}
+	}
+	return e
+}
