--- a/internal/settings/shared.go
+++ b/internal/settings/shared.go
@@ -8,33 +8,35 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 )
 
-// Shared is one section of a file with shared settings.
-type Shared struct {
-	Path   ids.Path
-	Values map[string]string
+// Named is a section of the shared settings with its path.
+type Named struct {
+	Path    ids.Path
+	Section Section
 }
 
-// LoadShared reads a file whose sections are named by their paths, as in
-// [teams/andrade/services/payments]. It checks all of them; each *Error names
-// section, name and line.
-func LoadShared(file string, text []byte) ([]Shared, error) {
+// LoadShared reads sections of the shared settings from an INI file. It returns
+// every error, each with section, name and line.
+func LoadShared(file string, text []byte) ([]Named, error) {
 	parsed, err := parseINI(file, text)
 	if err != nil {
 		return nil, err
 	}
 	lines := lineIndex(text)
-	var all []Shared
+	var list []Named
 	var errs []error
 	for _, s := range parsed.Sections() {
-		values := s.KeysHash()
-		if s.Name() == ini.DefaultSection && len(values) == 0 {
+		if s.Name() == ini.DefaultSection {
+			if len(s.Keys()) > 0 {
+				errs = append(errs, &Error{File: file, Name: s.Keys()[0].Name(), Line: lines[position{name: s.Keys()[0].Name()}], Reason: "stands before the first section"})
+			}
 			continue
 		}
-		if _, err := Parse(ids.Path(s.Name()), values); err != nil {
+		section, err := Parse(ids.Path(s.Name()), s.KeysHash())
+		if err != nil {
 			errs = append(errs, locate(err, file, s.Name(), lines))
 			continue
 		}
-		all = append(all, Shared{Path: ids.Path(s.Name()), Values: values})
+		list = append(list, Named{Path: ids.Path(s.Name()), Section: section})
 	}
-	return all, errors.Join(errs...)
+	return list, errors.Join(errs...)
 }
--- a/internal/settings/shared_test.go
+++ b/internal/settings/shared_test.go
@@ -13,10 +13,11 @@
 	const good = "[teams/a/accounts/b]\nrate = 5\n\n[teams/a/services/c]\n"
 	all, err := settings.LoadShared("a.ini", []byte(good))
 	must.NoError(t, err)
-	must.Eq(t, []settings.Shared{
-		{Path: "teams/a/accounts/b", Values: map[string]string{"rate": "5"}},
-		{Path: "teams/a/services/c", Values: map[string]string{}},
-	}, all)
+	must.SliceLen(t, 2, all)
+	must.EqOp(t, "teams/a/accounts/b", all[0].Path)
+	must.Eq(t, map[string]string{"rate": "5"}, settings.Values(all[0].Section))
+	must.EqOp(t, "teams/a/services/c", all[1].Path)
+	must.MapEmpty(t, settings.Values(all[1].Section))
 
 	cases := []struct {
 		name string
