--- /dev/null
+++ b/internal/seats/seats_test.go
@@ -0,0 +1,114 @@
+package seats
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+)
+
+func members(centres, each int) []member.Member {
+	var all []member.Member
+	for c := range centres {
+		for i := range each {
+			all = append(all, member.Member{
+				Daemon:      ids.Daemon(fmt.Sprintf("c%d-%d", c, i)),
+				Incarnation: 1,
+				Centre:      ids.Centre(fmt.Sprintf("c%d", c)),
+			})
+		}
+	}
+	return all
+}
+
+// follow applies the plan for the members to the state.
+func follow(s *replay.State, live []member.Member) (roster.Roster, bool) {
+	var old roster.Roster
+	if kept, _ := s.Rosters(); len(kept) > 0 {
+		old = kept[len(kept)-1]
+	}
+	change, needed := Plan(old, live)
+	if !needed {
+		return old, false
+	}
+	s.Apply(s.Offset()+1, change)
+	kept, _ := s.Rosters()
+	return kept[len(kept)-1], true
+}
+
+func TestWitnesses(t *testing.T) {
+	tests := []struct{ centres, each, want, most int }{
+		{1, 1, 1, 1},
+		{1, 2, 1, 1},
+		{1, 9, 3, 3},
+		{2, 5, 3, 2},
+		{3, 9, 3, 1},
+		{4, 6, 5, 2},
+		{13, 150, 7, 1},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d centres of %d", tt.centres, tt.each), func(t *testing.T) {
+			var s replay.State
+			r, _ := follow(&s, members(tt.centres, tt.each))
+			must.Len(t, tt.want, r.Witnesses())
+			held := map[ids.Centre]int{}
+			for _, e := range r.Entries {
+				if e.Witness {
+					held[e.Centre]++
+				}
+			}
+			for _, n := range held {
+				must.LessEq(t, tt.most, n)
+			}
+			_, again := follow(&s, members(tt.centres, tt.each))
+			must.False(t, again)
+		})
+	}
+}
+
+func TestOnlyLostSeatsMove(t *testing.T) {
+	var s replay.State
+	live := members(3, 4)
+	before, _ := follow(&s, live)
+	lost := before.Witnesses()[0]
+	for i := range live {
+		if live[i].Daemon == lost {
+			live[i].Incarnation++
+		}
+	}
+	after, changed := follow(&s, live)
+	must.True(t, changed)
+	must.Len(t, 3, after.Witnesses())
+	for _, id := range before.Witnesses()[1:] {
+		must.SliceContains(t, after.Witnesses(), id)
+	}
+	e, _ := after.Find(lost)
+	must.EqOp(t, 2, e.Incarnation)
+}
+
+func TestStaleBase(t *testing.T) {
+	var s replay.State
+	one, _ := Plan(roster.Roster{}, members(1, 3))
+	two, _ := Plan(roster.Roster{}, members(1, 2))
+	s.Apply(1, one)
+	must.Eq(t, replay.Outcome(replay.Conflict{Current: 1}), s.Apply(2, two))
+	kept, _ := s.Rosters()
+	must.Len(t, 1, kept)
+	must.Len(t, 3, kept[0].Entries)
+}
+
+// Two proposers with the same members plan the same change, whatever the order.
+func TestRankIsAPermutation(t *testing.T) {
+	var s replay.State
+	r, _ := follow(&s, members(2, 5))
+	seen := map[int]bool{}
+	for _, id := range r.Daemons() {
+		seen[Rank(r, id)] = true
+	}
+	must.MapLen(t, 10, seen)
+}
