--- a/internal/confirm/confirm_test.go
+++ b/internal/confirm/confirm_test.go
@@ -13,6 +13,7 @@
 	"balsamwharf.example/balsamwharf/internal/chain"
 	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/record"
 	"balsamwharf.example/balsamwharf/internal/rendezvous"
@@ -238,3 +239,49 @@
 	n.log.SetAway(false)
 	n.log.LoseReplies(0)
 }
+
+// Evidence counts from when the question was sent, however long the answer takes.
+func TestSlowAnswers(t *testing.T) {
+	fleet(t, 3, func(t *testing.T, n *network) {
+		const oneWay = 250 * time.Millisecond
+		n.log.SetAway(true)
+		n.set(func() { n.delay[name(2)] = oneWay })
+		time.Sleep(5 * time.Second)
+		for range 100 {
+			time.Sleep(step)
+			answer := n.nodes[name(2)].confirm.Answer()
+			must.True(t, !answer.Confirmed || answer.Age >= 2*oneWay)
+		}
+	})
+}
+
+// A witness that leaves gives up its vote before it ends.
+func TestLeavingWitnesses(t *testing.T) {
+	fleet(t, 3, func(t *testing.T, n *network) {
+		n.log.SetAway(true)
+		for i := 1; i < 3; i++ {
+			n.nodes[name(i)].gossip.Update(func(m *member.Member) { m.Leaving = true })
+		}
+		n.run(t, 3*time.Second)
+		must.EqOp(t, 0, n.confirmed())
+	})
+}
+
+// A daemon that ends without a word leaves the roster after a delay, and its
+// seat moves.
+func TestLostDaemonLeavesRoster(t *testing.T) {
+	fleet(t, 5, func(t *testing.T, n *network) {
+		lost := n.nodes[name(0)].confirm.Roster().Witnesses()[0]
+		n.stop(lost)
+		n.run(t, 2*time.Minute)
+		for _, x := range n.all() {
+			must.Len(t, 5, x.confirm.Roster().Entries)
+		}
+		n.run(t, 4*time.Minute)
+		for _, x := range n.all() {
+			r := x.confirm.Roster()
+			must.Len(t, 4, r.Entries)
+			must.Len(t, 3, r.Witnesses())
+		}
+	})
+}
--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -23,6 +23,7 @@
 	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/record"
 	"balsamwharf.example/balsamwharf/internal/replay"
@@ -54,6 +55,8 @@
 	directory *directory.Directory
 	confirm   *confirm.Confirm
 	force     *force.Force
+	peers     peer.Caller
+	watch     watch
 	waiting   bool
 	since     units.Instant
 	base      ids.Offset
@@ -64,7 +67,7 @@
 
 // Needs implements service.Service.
 func (s *Seating) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "confirm", "force"}
+	return []service.Name{"timer", "tail", "directory", "confirm", "force", "dial"}
 }
 
 // Start implements service.Service.
@@ -82,6 +85,9 @@
 	if s.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
 		return err
 	}
+	if s.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
 	go s.run(ctx)
 	return nil
 }
@@ -105,7 +111,15 @@
 // step proposes a change when one is needed and this daemon's turn has come.
 func (s *Seating) step(ctx context.Context, now units.Instant) {
 	newest := s.newest()
-	change, needed := seats.Plan(newest, s.live())
+	self, _ := s.confirm.Self()
+	if len(newest.Entries) > 0 && seats.Rank(roster.Roster{Entries: newest.Entries}, self) < watchers {
+		due := s.watch.due(newest)
+		s.watch.note(due, s.answering(ctx, due), now)
+	} else {
+		s.watch = watch{}
+	}
+	live := s.live(now)
+	_, needed := seats.Plan(newest, live)
 	if !needed || !s.confirm.Confirmed() || !s.force.InForce(newest.Version) {
 		s.waiting = false
 		return
@@ -113,12 +127,13 @@
 	if !s.waiting || s.base != newest.Version {
 		s.waiting, s.since, s.base = true, now, newest.Version
 	}
-	self, _ := s.confirm.Self()
 	if now.Sub(s.since) < delay(seats.Rank(newest, self)) {
 		return
 	}
 	s.waiting = false
-	s.propose(ctx, change)
+	if change, needed := seats.Plan(newest, s.joining(ctx, newest, live)); needed && s.confirm.Confirmed() {
+		s.propose(ctx, change)
+	}
 }
 
 // delay returns how long a daemon of the given rank waits.
@@ -156,10 +171,10 @@
 }
 
 // live returns the members that take part.
-func (s *Seating) live() []member.Member {
+func (s *Seating) live(now units.Instant) []member.Member {
 	var live []member.Member
 	for _, m := range s.directory.Members() {
-		if m.Incarnation != 0 && !m.Leaving && !m.Gone {
+		if m.Incarnation != 0 && !m.Leaving && !m.Gone && !s.watch.absent(m.Daemon, now) {
 			live = append(live, m)
 		}
 	}
