--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/joomcode/errorx"
@@ -18,8 +19,11 @@
 	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -30,6 +34,9 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	lender     *lender.Lender
+	guard      *guard.Guard
+	relay      *relay.Relay
 	confirm    *confirm.Confirm
 }
 
@@ -38,16 +45,34 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "confirm"}
+	return []service.Name{
+		"gatekeeper",
+		"gossip",
+		"relay",
+		"confirm",
+	}
+	return []service.Name{"gatekeeper", "gossip", "lender", "relay", "guard"}
 }
 
 // Start implements service.Service.
 func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
+	return errors.Join(
+		kernel.Bind(f, "gatekeeper", &d.gatekeeper),
+		kernel.Bind(f, "gossip", &d.gossip),
+		kernel.Bind(f, "relay", &d.relay),
+		kernel.Bind(f, "confirm", &d.confirm),
+	)
 	var err error
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
 	}
-	if d.confirm, err = kernel.Find[*confirm.Confirm](f, "confirm"); err != nil {
+	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
+		return err
+	}
+	if d.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
+		return err
+	}
+	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
 		return err
 	}
 	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
@@ -63,10 +88,26 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Borrow:
+		return d.lender.Lend(from, m), nil
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m), nil
+	case message.GuardLook:
+		return d.guard.Look(m), nil
+	case message.GuardCopy:
+		return d.guard.Copy(m), nil
+	case message.GuardEnd:
+		return d.guard.End(ctx, m), nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
+	case message.Pull:
+		return d.relay.Pull(ctx, m), nil
+	case message.Fetch:
+		return d.relay.Fetch(m)
 	case message.Question:
 		return d.confirm.Answer(), nil
 	default:
--- a/internal/replay/roster.go
+++ b/internal/replay/roster.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/record"
@@ -18,8 +21,10 @@
 	kept []roster.Roster
 	// since is the offset from which on no roster is missing.
 	since ids.Offset
-	// settled is the version of the roster that came in a snapshot.
+	// settled is an offset in force as a snapshot told it; it is not part of the
+	// digest, because daemons learn it at different times.
 	settled ids.Offset
+	digest  Digest
 }
 
 // newest returns the roster as of the last record.
@@ -30,14 +35,31 @@
 	return r.kept[len(r.kept)-1]
 }
 
-// load starts from a snapshot's roster.
-func (r *rosters) load(from roster.Roster) {
-	if from.Version == 0 {
-		return
+// load starts from the rosters of a snapshot's first part.
+func (r *rosters) load(part record.Snapshot) {
+	r.kept = slices.Clone(part.Rosters)
+	r.since = part.Since
+	r.settled = part.Settled
+	r.digest = r.sum()
+}
+
+// sum hashes the versions and the members of all rosters kept; it is 0 when
+// there is none.
+func (r *rosters) sum() Digest {
+	if len(r.kept) == 0 {
+		return 0
+	}
+	var h xxhash.Digest
+	h.Reset()
+	writeOffset(&h, r.since)
+	for _, one := range r.kept {
+		writeOffset(&h, one.Version)
+		for _, e := range one.Entries {
+			write(&h, string(e.Daemon), string(e.Centre), string(e.Region), strconv.FormatBool(e.Witness))
+			writeOffset(&h, ids.Offset(e.Incarnation))
+		}
 	}
-	r.kept = []roster.Roster{from}
-	r.since = from.Version
-	r.settled = from.Version
+	return Digest(h.Sum64())
 }
 
 // apply makes a new roster unless the change has a stale base.
@@ -66,6 +88,7 @@
 		r.kept = slices.Clone(r.kept[1:])
 		r.since = r.kept[0].Version
 	}
+	r.digest = r.sum()
 	return Accepted{Version: at}
 }
 
@@ -75,6 +98,5 @@
 	return slices.Clone(s.rosters.kept), s.rosters.since
 }
 
-// Settled returns the version of the roster that a snapshot proved to be in
-// force, or zero.
+// Settled returns an offset that a snapshot proved to be in force, or zero.
 func (s *State) Settled() ids.Offset { return s.rosters.settled }
