--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,7 +19,7 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/message"
@@ -48,7 +48,7 @@
 	callTimeout       = time.Second
 	// steadyTime is how long a key's pair waits after it changed. A daemon that is
 	// confirmed sees every roster that lasts as long.
-	steadyTime = 2*confirm.Period + observeGap
+	steadyTime = 2*evidence.Period + observeGap
 )
 
 // Beginning tells whether a roster was the first of the fleet, so that no key can
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -19,7 +19,7 @@
 	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/holding"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lru"
@@ -49,7 +49,7 @@
 	// act on its roster for one more Period, and its batches end a Lifetime later.
 	// The second Period and observeGap cover a holder that lost its seat and got it
 	// back without seeing the roster in between: nobody has lent under that one.
-	Settle = 2*confirm.Period + observeGap + Lifetime + margin
+	Settle = 2*evidence.Period + observeGap + Lifetime + margin
 
 	rememberedRosters = 4
 	cachedShares      = 4096
