Remove daemons that gossip holds for lost; drop the own search for them

Cause: gossip came with direct and indirect probes, so a second search by questions only cost messages and could be wrong under a one-way cut.

--- a/internal/confirm/net_test.go
+++ b/internal/confirm/net_test.go
@@ -31,6 +31,16 @@
 
 var errCut = errors.New("cut")
 
+// crash ends a daemon without a word.
+func (n *network) crash(id ids.Daemon) {
+	n.set(func() {
+		for i := range 8 {
+			n.cut[[2]ids.Daemon{id, name(i)}] = true
+		}
+	})
+	n.stop(id)
+}
+
 // network joins daemons by function calls with delays and one-way cuts.
 type network struct {
 	log logstub.Stub
@@ -148,6 +158,8 @@
 		reply = other.confirm.Answer()
 	case message.Announce:
 		reply = other.gossip.Hear(m)
+	case message.Probe:
+		reply = other.gossip.Try(ctx, m)
 	default:
 		return nil, errCut
 	}
--- a/internal/seating/absent.go
+++ b/internal/seating/absent.go
@@ -13,52 +13,31 @@
 )
 
 const (
-	// watchers is how many daemons look for members that answer no more.
-	watchers = 3
-	// roundTime is how long a watcher takes to ask all members.
-	roundTime = time.Minute
-	// absentDelay is how long a member may answer nothing before it is removed.
-	absentDelay = 3 * time.Minute
+	// absentDelay is how long a member may be lost before it leaves the roster.
+	absentDelay = time.Minute
 	// maxJoins bounds the members that one record adds, because each is asked first.
 	maxJoins      = 100
 	answerTimeout = 800 * time.Millisecond
 )
 
-// watch holds the members that answer no more. The zero value holds none.
+// watch holds since when members are lost. The zero value holds none.
 type watch struct {
-	next  int
 	since map[ids.Daemon]units.Instant
 }
 
-// due returns the members to ask in this period.
-func (w *watch) due(r roster.Roster) []ids.Daemon {
-	all := r.Daemons()
-	each := (len(all)*int(period) + int(roundTime) - 1) / int(roundTime)
-	var due []ids.Daemon
-	for range each {
-		due = append(due, all[w.next%len(all)])
-		w.next = (w.next + 1) % len(all)
-	}
-	return due
-}
-
-// note takes over which of the members asked have answered.
-func (w *watch) note(asked []ids.Daemon, answered map[ids.Daemon]bool, now units.Instant) {
-	if w.since == nil {
-		w.since = map[ids.Daemon]units.Instant{}
-	}
-	for _, id := range asked {
-		if answered[id] {
-			delete(w.since, id)
-			continue
-		}
-		if _, known := w.since[id]; !known {
-			w.since[id] = now
+// note takes over which members are lost now.
+func (w *watch) note(lost []member.Member, now units.Instant) {
+	since := map[ids.Daemon]units.Instant{}
+	for _, m := range lost {
+		since[m.Daemon] = now
+		if known, ok := w.since[m.Daemon]; ok {
+			since[m.Daemon] = known
 		}
 	}
+	w.since = since
 }
 
-// absent reports whether a member has answered nothing for too long.
+// absent reports whether a member has been lost for too long.
 func (w *watch) absent(id ids.Daemon, now units.Instant) bool {
 	since, known := w.since[id]
 	return known && now.Sub(since) >= absentDelay
--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -112,12 +112,7 @@
 func (s *Seating) step(ctx context.Context, now units.Instant) {
 	newest := s.newest()
 	self, _ := s.confirm.Self()
-	if len(newest.Entries) > 0 && seats.Rank(roster.Roster{Entries: newest.Entries}, self) < watchers {
-		due := s.watch.due(newest)
-		s.watch.note(due, s.answering(ctx, due), now)
-	} else {
-		s.watch = watch{}
-	}
+	s.watch.note(s.directory.Missing(), now)
 	live := s.live(now)
 	_, needed := seats.Plan(newest, live)
 	if !needed || !s.confirm.Confirmed() || !s.force.InForce(newest.Version) {
