Detect failing targets by a sequential test against their siblings

Cause: a target that serves badly but answers was never taken out of use.

Each gatekeeper runs a CUSUM of errors and one of latency for every target and for each of its routes (bounded). A sum over the threshold is a suspicion: up to five random siblings are asked about the same time, and the target fails when the evidence holds against their present state and a two-sample likelihood ratio is clear. An ejection needs a permit of the service's steward.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"balsamwharf.example/balsamwharf/internal/dial"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/dispatch"
+	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/front"
@@ -30,6 +31,7 @@
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/limit"
+	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/tail"
@@ -78,6 +80,8 @@
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
+	a.kernel.Add(&permit.Permit{Common: c})
+	a.kernel.Add(&ejector.Ejector{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- /dev/null
+++ b/internal/detector/detector.go
@@ -0,0 +1,234 @@
+// Package detector decides whether a target fails, from the outcomes of its own
+// requests compared with those of its siblings.
+//
+// # Usage
+//
+//	var d detector.Detector
+//	d.Note(now, route, sample.Errored{})
+//	if q, ok := d.Question(now); ok {
+//		answers := ask(siblings, q)
+//		switch f := d.Judge(now, q, answers).(type) {
+//		case detector.Failing:
+//		case detector.Sound, detector.Open:
+//		}
+//	}
+//	d.Learn(now, answers) // now and then, from a few random siblings
+//
+// Outcomes run through one sequential test of errors and one of latency for the
+// target, and through another pair for each route. A test that passes its
+// threshold is only a suspicion: the siblings are asked about the same time, and
+// the target fails when the same evidence holds against what they report.
+package detector
+
+import (
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/contrast"
+	"balsamwharf.example/balsamwharf/internal/cusum"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/sample"
+	"balsamwharf.example/balsamwharf/internal/sibling"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// maxRoutes bounds the routes that are followed one by one.
+	maxRoutes = 64
+	// askPause is the least time between two questions of one test.
+	askPause = 250 * time.Millisecond
+	// enough is the number of siblings' outcomes that settles a comparison.
+	enough = 8
+	// patience is how long a test waits for enough outcomes of the siblings.
+	patience = 2 * time.Second
+	// routeMemory is how long a comparison of one route counts.
+	routeMemory = time.Minute
+)
+
+// Reason says which test a target failed.
+type Reason string
+
+// The reasons.
+const (
+	Errors      Reason = "errors"
+	Slow        Reason = "slow"
+	Unreachable Reason = "unreachable"
+)
+
+// Question asks siblings for their outcomes in the time of a suspicion.
+type Question struct {
+	Reason Reason
+	// Route is empty when all routes are meant.
+	Route ids.Route
+	// Window is how far back the suspicion reaches.
+	Window time.Duration
+	// Statistic is the sum that raised the suspicion.
+	Statistic float64
+}
+
+// Finding is the result of a comparison. The interface is sealed.
+type Finding interface{ isFinding() }
+
+// Sound says that the siblings fare alike.
+type Sound struct{}
+
+// Open says that the siblings have seen too little so far.
+type Open struct{}
+
+// Failing says that the target fails, with the numbers that decided.
+type Failing struct {
+	Question Question
+	Own      sibling.Summary
+	Siblings sibling.Usual
+	// Statistic is the log likelihood ratio against the siblings.
+	Statistic float64
+}
+
+func (Sound) isFinding()   {}
+func (Open) isFinding()    {}
+func (Failing) isFinding() {}
+
+// Detector holds the tests of one target. The zero value has seen nothing.
+type Detector struct {
+	all    stream
+	routes map[ids.Route]*stream
+}
+
+// Learn sets what the siblings usually do. Routes that were compared long ago
+// start again from the target's own comparison.
+func (d *Detector) Learn(now units.Instant, answers []sibling.Summary) {
+	d.all.learn(now, sibling.Median(answers))
+	for _, s := range d.routes {
+		if now.Sub(s.learned) > routeMemory {
+			s.usual = d.all.usual
+			s.learned = now
+		}
+	}
+}
+
+// Usual returns what the siblings usually do.
+func (d *Detector) Usual() sibling.Usual { return d.all.usual }
+
+// Note takes in one outcome. An empty route counts for the target only.
+func (d *Detector) Note(now units.Instant, route ids.Route, x sample.Sample) {
+	d.all.note(now, x)
+	if s := d.route(route); s != nil {
+		s.note(now, x)
+	}
+}
+
+// route finds the tests of a route. Routes over the bound count for the target only.
+func (d *Detector) route(id ids.Route) *stream {
+	if id == "" {
+		return nil
+	}
+	if s, ok := d.routes[id]; ok {
+		return s
+	}
+	if len(d.routes) >= maxRoutes {
+		return nil
+	}
+	if d.routes == nil {
+		d.routes = map[ids.Route]*stream{}
+	}
+	s := &stream{usual: d.all.usual, learned: d.all.learned}
+	d.routes[id] = s
+	return s
+}
+
+// Since summarises the last outcomes, for a sibling that asks. An empty route
+// means all routes.
+func (d *Detector) Since(now units.Instant, route ids.Route, back time.Duration) sibling.Summary {
+	if route == "" {
+		return d.all.recent.Since(now, back)
+	}
+	if s, ok := d.routes[route]; ok {
+		return s.recent.Since(now, back)
+	}
+	return sibling.Summary{}
+}
+
+// Statistic returns the highest sum of the target's own tests.
+func (d *Detector) Statistic() float64 {
+	return max(d.all.errors.Sum(), d.all.latency.Sum())
+}
+
+// Reset forgets all evidence against the target, but not what its siblings do.
+func (d *Detector) Reset() {
+	d.all = stream{usual: d.all.usual, learned: d.all.learned, recent: d.all.recent}
+	d.routes = nil
+}
+
+// Question returns the strongest suspicion that is due to be put to the siblings.
+func (d *Detector) Question(now units.Instant) (Question, bool) {
+	if q, ok := d.all.question(now); ok {
+		return q, true
+	}
+	for id, s := range d.routes {
+		if q, ok := s.question(now); ok {
+			q.Route = id
+			return q, true
+		}
+	}
+	return Question{}, false
+}
+
+// Judge compares the suspicion with the siblings' answers.
+func (d *Detector) Judge(now units.Instant, q Question, answers []sibling.Summary) Finding {
+	s := &d.all
+	if q.Route != "" {
+		s = d.route(q.Route)
+	}
+	if s == nil {
+		return Sound{}
+	}
+	fresh := sibling.Median(answers)
+	if q.Reason != Unreachable && !settled(q, sibling.Pool(answers)) {
+		return Open{}
+	}
+	own := s.own(q)
+	statistic := against(q, fresh, own)
+	if statistic < cusum.Threshold {
+		s.acquit(now, q, fresh)
+		return Sound{}
+	}
+	if fresh.Known && apart(q, own, sibling.Trim(answers)) < needed(q) {
+		return Open{}
+	}
+	return Failing{Question: q, Own: own, Siblings: fresh, Statistic: statistic}
+}
+
+// needed returns the difference that counts as real for the question.
+func needed(q Question) float64 {
+	if q.Route != "" {
+		return contrast.ClearRoute
+	}
+	return contrast.Clear
+}
+
+// apart returns how clearly the target differs from its siblings.
+func apart(q Question, own, siblings sibling.Summary) float64 {
+	if q.Reason == Slow {
+		return contrast.Latency(own, siblings)
+	}
+	return contrast.Errors(own, siblings)
+}
+
+// settled reports whether the siblings have seen enough to compare with.
+func settled(q Question, pooled sibling.Summary) bool {
+	if q.Reason == Slow {
+		return pooled.Timed >= enough || (q.Window >= patience && pooled.Timed > 0)
+	}
+	return pooled.Count() >= enough || (q.Window >= patience && pooled.Count() > 0)
+}
+
+// against returns the evidence that remains when the siblings' present state is
+// taken as healthy.
+func against(q Question, fresh sibling.Usual, own sibling.Summary) float64 {
+	switch q.Reason {
+	case Slow:
+		return cusum.LatencyOver(fresh, own)
+	case Unreachable, Errors:
+		return cusum.ErrorsOver(fresh, own)
+	}
+	return 0
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,10 +15,12 @@
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -29,6 +31,8 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	permit     *permit.Permit
+	ejector    *ejector.Ejector
 }
 
 // Name implements service.Service.
@@ -36,7 +40,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip"}
+	return []service.Name{"gatekeeper", "gossip", "permit", "ejector"}
 }
 
 // Start implements service.Service.
@@ -45,6 +49,12 @@
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
 	}
+	if d.permit, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
+		return err
+	}
+	if d.ejector, err = kernel.Find[*ejector.Ejector](f, "ejector"); err != nil {
+		return err
+	}
 	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
 	return err
 }
@@ -58,10 +68,14 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(_ context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Permit, message.Release:
+		return d.permit.Hear(from, m), nil
+	case message.Compare:
+		return d.ejector.Compare(m), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- /dev/null
+++ b/internal/ejector/ejector.go
@@ -0,0 +1,176 @@
+// Package ejector takes failing targets of this VM out of use and lets them back.
+//
+// # Usage
+//
+//	e, err := kernel.Find[*ejector.Ejector](f, "ejector")
+//	e.Track(ejector.Target{ID: "payments-1", Service: "andrade/payments", Slots: 3})
+//	if !e.Admits("payments-1", idempotent) { ... }
+//	w := e.Begin("payments-1", route)
+//	w.Sent()
+//	w.End(sample.Good{})
+//
+// Every outcome goes to the target's detector. A suspicion is put to a few random
+// siblings; a finding needs a permit before it takes effect. An ejected target
+// comes back after its probation: a probe, then a few requests that are safe to
+// repeat. It comes back at once when its permit can't be renewed.
+package ejector
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/permit"
+	"balsamwharf.example/balsamwharf/internal/probation"
+	"balsamwharf.example/balsamwharf/internal/sample"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// tick is how often hangs, leases and suspicions are looked at.
+const tick = 50 * time.Millisecond
+
+// Ejector decides for the targets of this VM.
+type Ejector struct {
+	Common *common.Common
+
+	directory *directory.Directory
+	gossip    *gossip.Gossip
+	peers     peer.Caller
+	permits   *permit.Permit
+	meters    meters
+
+	mu      sync.Mutex
+	targets map[ids.Target]*patient
+}
+
+// meters are the ejector's metrics.
+type meters struct {
+	ejections    metrics.Counter
+	readmissions metrics.Counter
+	refusals     metrics.Counter
+	statistic    metrics.GaugeFloat64
+}
+
+// Target is a backend server of this VM.
+type Target struct {
+	ID      ids.Target
+	Service ids.Service
+	Address ids.Address
+	Slots   units.Slots
+	// Cold is how long the target needs to warm up.
+	Cold time.Duration
+}
+
+// Name implements service.Service.
+func (e *Ejector) Name() service.Name { return "ejector" }
+
+// Needs implements service.Service.
+func (e *Ejector) Needs() []service.Name {
+	return []service.Name{"timer", "directory", "gossip", "dial", "permit"}
+}
+
+// Start implements service.Service.
+func (e *Ejector) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if e.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if e.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
+		return err
+	}
+	if e.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	if e.permits, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
+		return err
+	}
+	e.meters = meters{
+		ejections:    metrics.GetOrRegisterCounter("ejector.ejections", e.Common.Metrics),
+		readmissions: metrics.GetOrRegisterCounter("ejector.readmissions", e.Common.Metrics),
+		refusals:     metrics.GetOrRegisterCounter("ejector.refusals", e.Common.Metrics),
+		statistic:    metrics.GetOrRegisterGaugeFloat64("ejector.statistic", e.Common.Metrics),
+	}
+	go e.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service.
+func (e *Ejector) Stop(context.Context) error { return nil }
+
+// Track begins to follow a target. A target that is announced anew starts afresh.
+func (e *Ejector) Track(t Target) {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.targets == nil {
+		e.targets = map[ids.Target]*patient{}
+	}
+	e.targets[t.ID] = &patient{target: t, tracked: now, flight: map[*Watch]bool{}}
+}
+
+// Forget ends following a target that is gone. Its permit lapses.
+func (e *Ejector) Forget(id ids.Target) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.targets, id)
+}
+
+// Mark sets in the daemon's own description which targets are out of use.
+func (e *Ejector) Mark(m *member.Member) {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range m.Targets {
+		p, ok := e.targets[m.Targets[i].ID]
+		m.Targets[i].Ejected = ok && p.stage(now) == probation.Out
+	}
+}
+
+// Ejected reports whether the target is out of use or on trial.
+func (e *Ejector) Ejected(id ids.Target) bool {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.targets[id]
+	return ok && p.stage(now) != probation.In
+}
+
+// Admits reports whether the target may get a request now. On trial it gets one at
+// a time, and only requests that are safe to repeat.
+func (e *Ejector) Admits(id ids.Target, idempotent bool) bool {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.targets[id]
+	if !ok {
+		return true
+	}
+	switch p.stage(now) {
+	case probation.Out:
+		return false
+	case probation.Trial:
+		return idempotent && len(p.flight) == 0
+	case probation.In:
+	}
+	return true
+}
+
+// Observe takes in the outcome of a request that was not watched.
+func (e *Ejector) Observe(id ids.Target, route ids.Route, x sample.Sample) {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p, ok := e.targets[id]; ok {
+		p.note(now, route, x)
+	}
+}
--- /dev/null
+++ b/internal/ejector/rounds.go
@@ -0,0 +1,209 @@
+package ejector
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/detector"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/probation"
+	"balsamwharf.example/balsamwharf/internal/sibling"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/internal/window"
+)
+
+const (
+	// learnPeriod is how often siblings are asked as a matter of routine.
+	learnPeriod = 10 * time.Second
+	// renewPeriod is how often a permit is renewed.
+	renewPeriod = time.Second
+	// deniedPause is how long a refused target waits before it asks again.
+	deniedPause = time.Second
+	// maxAsked bounds the siblings that are asked at once.
+	maxAsked = 5
+	// compareTimeout bounds one question to a sibling.
+	compareTimeout = 150 * time.Millisecond
+)
+
+// run looks at all targets in each tick.
+func (e *Ejector) run(ctx context.Context) {
+	sub := e.Common.Clock.Every(tick)
+	defer sub.Stop()
+	for {
+		select {
+		case <-sub.C:
+			e.round(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round finds what is due for each target and starts a task for it.
+func (e *Ejector) round(ctx context.Context) {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	var due []func()
+	statistic := 0.0
+	for _, p := range e.targets {
+		p.noteHangs(now)
+		statistic = max(statistic, p.detector.Statistic())
+		if step := e.due(ctx, now, p); step != nil {
+			due = append(due, step)
+		}
+	}
+	e.mu.Unlock()
+	e.meters.statistic.Update(statistic)
+	for _, step := range due {
+		go step()
+	}
+}
+
+// due returns the next step for a target, or nil. The step clears busy.
+func (e *Ejector) due(ctx context.Context, now units.Instant, p *patient) func() {
+	stage := p.stage(now)
+	if p.lapsed {
+		p.lapsed = false
+		p.until = 0
+		return func() { e.lapsed(p) }
+	}
+	if p.busy {
+		return nil
+	}
+	step := e.next(ctx, now, p, stage)
+	if step == nil {
+		return nil
+	}
+	p.busy = true
+	return func() {
+		step()
+		e.mu.Lock()
+		p.busy = false
+		e.mu.Unlock()
+	}
+}
+
+func (e *Ejector) next(ctx context.Context, now units.Instant, p *patient, stage probation.Stage) func() {
+	switch stage {
+	case probation.In:
+		return e.nextIn(ctx, now, p)
+	case probation.Out, probation.Trial:
+		if now.Sub(p.renewed) >= renewPeriod {
+			return func() { e.renew(ctx, p) }
+		}
+		if p.probation.Due(now) {
+			return func() { e.probe(ctx, p) }
+		}
+	}
+	return nil
+}
+
+func (e *Ejector) nextIn(ctx context.Context, now units.Instant, p *patient) func() {
+	if p.until != 0 {
+		return func() { e.readmitted(ctx, p) }
+	}
+	if p.denied != 0 && now.Sub(p.denied) < deniedPause {
+		return nil
+	}
+	if q, ok := p.detector.Question(now); ok {
+		return func() { e.judge(ctx, p, q) }
+	}
+	if p.learned == 0 || now.Sub(p.learned) >= learnPeriod {
+		p.learned = now
+		return func() { e.learn(ctx, p) }
+	}
+	return nil
+}
+
+// learn asks a few siblings how they usually fare.
+func (e *Ejector) learn(ctx context.Context, p *patient) {
+	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Window: window.Span})
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p.detector.Learn(now, answers)
+	if !p.detector.Usual().Timed {
+		p.learned = now.Add(time.Second - learnPeriod)
+	}
+}
+
+// judge puts a suspicion to the siblings and ejects the target when it fails.
+func (e *Ejector) judge(ctx context.Context, p *patient, q detector.Question) {
+	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Route: q.Route, Window: q.Window})
+	e.mu.Lock()
+	finding := p.detector.Judge(e.Common.Clock.Now(), q, answers)
+	e.mu.Unlock()
+	switch f := finding.(type) {
+	case detector.Failing:
+		e.eject(ctx, p, f)
+	case detector.Sound, detector.Open:
+	}
+}
+
+// ask compares with a few random siblings.
+func (e *Ejector) ask(ctx context.Context, t Target, m message.Compare) []sibling.Summary {
+	answers := e.summaries(m, t.ID)
+	ctx, cancel := e.Common.Clock.Within(ctx, compareTimeout)
+	defer cancel()
+	daemons := e.siblings(t)
+	replies := make(chan []sibling.Summary, len(daemons))
+	for _, d := range daemons {
+		go func() { replies <- e.askOne(ctx, d, m) }()
+	}
+	for range daemons {
+		answers = append(answers, <-replies...)
+	}
+	return answers
+}
+
+func (e *Ejector) askOne(ctx context.Context, to ids.Daemon, m message.Compare) []sibling.Summary {
+	reply, err := e.peers.Call(ctx, to, m)
+	if err != nil {
+		return nil
+	}
+	if s, ok := reply.(message.Summary); ok {
+		return s.Targets
+	}
+	return nil
+}
+
+// siblings picks a few random other daemons with targets of the service in use.
+func (e *Ejector) siblings(t Target) []ids.Daemon {
+	self := e.Common.Settings.Identity.Daemon
+	var all []ids.Daemon
+	known := map[ids.Daemon]bool{self: true}
+	for _, c := range e.directory.Targets(t.Service) {
+		if !known[c.Daemon] {
+			known[c.Daemon] = true
+			all = append(all, c.Daemon)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(maxAsked, len(all))]
+}
+
+// Compare answers a sibling with the outcomes of this VM's targets in use.
+func (e *Ejector) Compare(m message.Compare) message.Summary {
+	return message.Summary{Targets: e.summaries(m, "")}
+}
+
+// summaries skips the target that asks, and those that are out or warming up.
+func (e *Ejector) summaries(m message.Compare, not ids.Target) []sibling.Summary {
+	now := e.Common.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []sibling.Summary
+	for id, p := range e.targets {
+		if id == not || p.target.Service != m.Service || p.cold(now) || p.stage(now) != probation.In {
+			continue
+		}
+		list = append(list, p.detector.Since(now, m.Route, m.Window))
+	}
+	return list
+}
+
+// mark tells the fleet which targets are out.
+func (e *Ejector) mark() { e.gossip.Update(func(m *member.Member) { e.Mark(m) }) }
--- /dev/null
+++ b/internal/ejector/watch.go
@@ -0,0 +1,74 @@
+package ejector
+
+import (
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/sample"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Watch follows one request from its hand-off to the target until it ends.
+type Watch struct {
+	ejector *Ejector
+	patient *patient
+	route   ids.Route
+	began   units.Instant
+	// sent is set once the target has the whole request, so that a slow caller is
+	// not the target's fault.
+	sent  bool
+	hangs int
+	over  bool
+}
+
+// Begin follows a request that is handed to a target now.
+func (e *Ejector) Begin(id ids.Target, route ids.Route) *Watch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := &Watch{ejector: e, patient: e.targets[id], route: route}
+	if w.patient != nil {
+		w.patient.flight[w] = true
+	}
+	return w
+}
+
+// Sent says that the target has the whole request.
+func (w *Watch) Sent() {
+	now := w.ejector.Common.Clock.Now()
+	w.ejector.mu.Lock()
+	defer w.ejector.mu.Unlock()
+	if !w.sent {
+		w.sent = true
+		w.began = now
+	}
+}
+
+// Head says that the head of the answer is there, and returns the time since Sent,
+// or zero when the target did not wait for the whole request.
+func (w *Watch) Head() sample.Good {
+	now := w.ejector.Common.Clock.Now()
+	w.ejector.mu.Lock()
+	defer w.ejector.mu.Unlock()
+	if w.patient != nil {
+		delete(w.patient.flight, w)
+	}
+	if !w.sent {
+		return sample.Good{}
+	}
+	return sample.Good{Took: max(now.Sub(w.began), 1)}
+}
+
+// End takes in how the request ended. Only the first call counts. A request that
+// was counted as hung is not counted again unless it ended well.
+func (w *Watch) End(x sample.Sample) {
+	now := w.ejector.Common.Clock.Now()
+	w.ejector.mu.Lock()
+	defer w.ejector.mu.Unlock()
+	if w.over || w.patient == nil {
+		return
+	}
+	w.over = true
+	delete(w.patient.flight, w)
+	if _, good := x.(sample.Good); w.hangs > 0 && !good {
+		return
+	}
+	w.patient.note(now, w.route, x)
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -18,6 +18,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
@@ -30,7 +31,8 @@
 type Gatekeeper struct {
 	Common *common.Common
 
-	gossip *gossip.Gossip
+	gossip  *gossip.Gossip
+	ejector *ejector.Ejector
 
 	mu      sync.Mutex
 	targets map[ids.Target]*target
@@ -49,12 +51,15 @@
 func (g *Gatekeeper) Name() service.Name { return "gatekeeper" }
 
 // Needs implements service.Service.
-func (g *Gatekeeper) Needs() []service.Name { return []service.Name{"timer", "gossip"} }
+func (g *Gatekeeper) Needs() []service.Name { return []service.Name{"timer", "gossip", "ejector"} }
 
 // Start implements service.Service.
 func (g *Gatekeeper) Start(_ context.Context, f service.Finder) error {
 	var err error
-	g.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
+	if g.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
+		return err
+	}
+	g.ejector, err = kernel.Find[*ejector.Ejector](f, "ejector")
 	return err
 }
 
@@ -85,6 +90,7 @@
 		t.close()
 	}
 	g.targets[a.ID] = newTarget(g.Common.Clock, a)
+	g.track(a)
 	g.mu.Unlock()
 	g.publish()
 }
@@ -111,7 +117,10 @@
 		list = append(list, t.describe(g.Common.Clock.Now()))
 	}
 	g.mu.Unlock()
-	g.gossip.Update(func(m *member.Member) { m.Targets = list })
+	g.gossip.Update(func(m *member.Member) {
+		m.Targets = list
+		g.ejector.Mark(m)
+	})
 }
 
 // Forward runs a request at the target that its head names.
@@ -120,18 +129,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := g.refuseEjected(head); err != nil {
+		return &call.Answer{Load: t.load()}, err
+	}
 	ctx, cancel := g.Common.Clock.Within(ctx, head.Remaining)
 	if err := t.enter(ctx); err != nil {
 		cancel()
 		return &call.Answer{Load: t.load()}, err
 	}
 	began := g.Common.Clock.Now()
-	answer, err := t.run(ctx, head, body)
+	seen := g.observe(head, body)
+	answer, err := t.run(ctx, head, seen)
 	if err != nil {
+		seen.failed(ctx, err)
 		cancel()
 		t.leave(g.Common.Clock.Now().Sub(began))
 		return &call.Answer{Load: t.load()}, err
 	}
+	seen.answered(ctx, answer)
 	answer.Load = t.load()
 	answer.Body = &held{ReadCloser: answer.Body, release: func() {
 		cancel()
--- /dev/null
+++ b/internal/permit/permit.go
@@ -0,0 +1,194 @@
+// Package permit asks for leave to eject a target and, on the steward of a
+// service, grants it.
+//
+// # Usage
+//
+//	p, err := kernel.Find[*permit.Permit](f, "permit")
+//	switch a := p.Ask(ctx, claim).(type) {
+//	case permit.Held: // until a.Until
+//	case permit.Denied:
+//	}
+//	p.Release(ctx, claim)
+//
+// The steward of a service is the first daemon by rendezvous over the roster in
+// force. There is traffic only while a target fails.
+package permit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/floor"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/standing"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/internal/tenure"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+const (
+	// askTimeout bounds one question to the steward.
+	askTimeout = 500 * time.Millisecond
+	// watchPeriod is how often a daemon looks whether it is still confirmed.
+	watchPeriod = 250 * time.Millisecond
+)
+
+// Permit speaks to stewards and is one itself.
+type Permit struct {
+	Common *common.Common
+
+	tail      *tail.Tail
+	directory *directory.Directory
+	peers     peer.Caller
+	standing  standing.Standing
+	refused   metrics.Counter
+
+	mu     sync.Mutex
+	number uint64
+	tenure tenure.Tenure
+	books  map[ids.Service]*floor.Floor
+}
+
+// Claim names a target and how bad it is.
+type Claim struct {
+	Service ids.Service
+	Target  ids.Target
+	Slots   units.Slots
+	Badness float64
+}
+
+// Answer is what came of a claim. The interface is sealed.
+type Answer interface{ isAnswer() }
+
+// Held lets the target be out until the instant, by this daemon's clock.
+type Held struct{ Until units.Instant }
+
+// Denied says that the steward refused.
+type Denied struct{ Reason floor.Reason }
+
+// Silent says that no steward could decide.
+type Silent struct{}
+
+func (Held) isAnswer()   {}
+func (Denied) isAnswer() {}
+func (Silent) isAnswer() {}
+
+// Name implements service.Service.
+func (p *Permit) Name() service.Name { return "permit" }
+
+// Needs implements service.Service.
+func (p *Permit) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "directory", "dial", "confirm"}
+}
+
+// Start implements service.Service.
+func (p *Permit) Start(ctx context.Context, f service.Finder) error {
+	var err error
+	if p.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+		return err
+	}
+	if p.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
+		return err
+	}
+	if p.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	if p.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+		return err
+	}
+	p.refused = metrics.GetOrRegisterCounter("permits.refused", p.Common.Metrics)
+	go p.run(ctx)
+	return nil
+}
+
+// Stop implements service.Service.
+func (p *Permit) Stop(context.Context) error { return nil }
+
+// run observes whether this daemon is confirmed, and the roster.
+func (p *Permit) run(ctx context.Context) {
+	sub := p.Common.Clock.Every(watchPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case <-sub.C:
+			p.observe()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ask claims a permit or renews it.
+func (p *Permit) Ask(ctx context.Context, c Claim) Answer {
+	to, ok := tenure.StewardOf(p.standing.Roster(), c.Service)
+	if !ok {
+		return Silent{}
+	}
+	asked := p.Common.Clock.Now()
+	reply, err := p.call(ctx, to, p.message(c))
+	if err != nil {
+		return Silent{}
+	}
+	answer, ok := reply.(message.Permitted)
+	switch {
+	case !ok:
+		return Silent{}
+	case answer.Granted:
+		return Held{Until: asked.Add(floor.Lease)}
+	case answer.Reason == string(notSteward):
+		return Silent{}
+	}
+	p.refused.Inc(1)
+	return Denied{Reason: floor.Reason(answer.Reason)}
+}
+
+func (p *Permit) message(c Claim) message.Permit {
+	_, incarnation := p.standing.Self()
+	return message.Permit{
+		Service:     c.Service,
+		Target:      c.Target,
+		Incarnation: incarnation,
+		Number:      p.next(),
+		Slots:       c.Slots,
+		Badness:     c.Badness,
+	}
+}
+
+// next numbers the claims and releases of this daemon.
+func (p *Permit) next() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.number++
+	return p.number
+}
+
+// Release gives a permit back. When the message is lost the lease lapses instead.
+func (p *Permit) Release(ctx context.Context, c Claim) {
+	to, ok := tenure.StewardOf(p.standing.Roster(), c.Service)
+	if !ok {
+		return
+	}
+	_, incarnation := p.standing.Self()
+	m := message.Release{Service: c.Service, Target: c.Target, Incarnation: incarnation, Number: p.next()}
+	_, _ = p.call(ctx, to, m)
+}
+
+// call reaches the steward, which may be this daemon.
+func (p *Permit) call(ctx context.Context, to ids.Daemon, m message.Message) (message.Message, error) {
+	self, _ := p.standing.Self()
+	if to == self {
+		return p.Hear(self, m), nil
+	}
+	ctx, cancel := p.Common.Clock.Within(ctx, askTimeout)
+	defer cancel()
+	return p.peers.Call(ctx, to, m)
+}
--- /dev/null
+++ b/internal/permit/steward.go
@@ -0,0 +1,115 @@
+package permit
+
+import (
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/floor"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// notSteward is the reason of a daemon that may not decide.
+const notSteward floor.Reason = "steward"
+
+// stewardWait is how long a new steward waits: until the leases of its predecessor
+// have lapsed.
+const stewardWait = floor.Lease + floor.Margin
+
+// Hear answers a question to the steward.
+func (p *Permit) Hear(from ids.Daemon, m message.Message) message.Message {
+	switch m := m.(type) {
+	case message.Permit:
+		return p.grant(from, m)
+	case message.Release:
+		p.release(from, m)
+		return message.Released{}
+	default:
+		return message.Permitted{Reason: string(notSteward)}
+	}
+}
+
+// observe notes the roster in force while this daemon is confirmed.
+func (p *Permit) observe() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tenure.Note(p.Common.Clock.Now(), p.standing.Confirmed(), p.standing.Roster())
+}
+
+// book finds the permits of a service.
+func (p *Permit) book(id ids.Service) *floor.Floor {
+	if p.books == nil {
+		p.books = map[ids.Service]*floor.Floor{}
+	}
+	b, ok := p.books[id]
+	if !ok {
+		b = &floor.Floor{}
+		p.books[id] = b
+	}
+	return b
+}
+
+func (p *Permit) grant(from ids.Daemon, m message.Permit) message.Permitted {
+	capacity, ok := p.capacity(m.Service)
+	if !ok {
+		return message.Permitted{Reason: string(notSteward)}
+	}
+	self, _ := p.standing.Self()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Common.Clock.Now()
+	p.tenure.Note(now, p.standing.Confirmed(), p.standing.Roster())
+	if !p.tenure.Settled(now, self, m.Service, stewardWait) {
+		return message.Permitted{Reason: string(notSteward)}
+	}
+	return p.decide(now, p.book(m.Service), from, m, capacity)
+}
+
+func (p *Permit) decide(now units.Instant, b *floor.Floor, from ids.Daemon, m message.Permit, capacity floor.Capacity) message.Permitted {
+	claim := floor.Claim{
+		Holder:  floor.Holder{Daemon: from, Incarnation: m.Incarnation, Target: m.Target},
+		Number:  m.Number,
+		Slots:   m.Slots,
+		Badness: m.Badness,
+	}
+	switch d := b.Ask(now, claim, capacity).(type) {
+	case floor.Granted:
+		p.Common.Invariant.Check(b.Out(now) <= capacity.Room(), "ejection below floor", zap.String("service", string(m.Service)))
+		return message.Permitted{Granted: true}
+	case floor.Refused:
+		return message.Permitted{Reason: string(d.Reason)}
+	}
+	return message.Permitted{Reason: string(notSteward)}
+}
+
+func (p *Permit) release(from ids.Daemon, m message.Release) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	holder := floor.Holder{Daemon: from, Incarnation: m.Incarnation, Target: m.Target}
+	p.book(m.Service).Release(p.Common.Clock.Now(), holder, m.Number)
+}
+
+// capacity sums up the targets of a service that don't leave, as the directory has
+// them now.
+func (p *Permit) capacity(id ids.Service) (floor.Capacity, bool) {
+	var set settings.Service
+	var ok bool
+	p.tail.View(func(s *replay.State) { set, ok = s.Service(id) })
+	if !ok {
+		return floor.Capacity{}, false
+	}
+	c := floor.Capacity{Floor: set.Floor}
+	for _, m := range p.directory.Members() {
+		if m.Leaving || m.Gone {
+			continue
+		}
+		for _, t := range m.Targets {
+			if t.Service == id && !t.Leaving {
+				c.Announced += t.Slots
+			}
+		}
+	}
+	return c, true
+}
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,107 @@
+// Package reach remembers which gatekeepers this daemon can't reach at present.
+//
+// # Usage
+//
+//	r.Note("daemon-7", false, now)
+//	if r.Avoid("daemon-7", now) { ... }
+//	usable := r.Usable(daemons, now)
+//
+// It holds for this daemon only, because with a one-way or partial partition others
+// may reach the same gatekeeper. Nobody is told and no permit is needed.
+package reach
+
+import (
+	"sync"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// tolerated is the number of failures in a row that have no consequence.
+	tolerated = 1
+	shortest  = 500 * time.Millisecond
+	longest   = 30 * time.Second
+)
+
+// Reach holds the outcomes of the last hops. The zero value avoids nobody.
+type Reach struct {
+	mu  sync.Mutex
+	bad map[ids.Daemon]*record
+}
+
+// record is a gatekeeper that failed last time.
+type record struct {
+	failures int
+	until    units.Instant
+	wait     time.Duration
+}
+
+// Note takes in the outcome of a hop: ok is false when the gatekeeper itself could
+// not be reached or did not answer.
+func (r *Reach) Note(daemon ids.Daemon, ok bool, now units.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		delete(r.bad, daemon)
+		return
+	}
+	if r.bad == nil {
+		r.bad = map[ids.Daemon]*record{}
+	}
+	f, known := r.bad[daemon]
+	if !known {
+		f = &record{}
+		r.bad[daemon] = f
+	}
+	f.fail(now)
+}
+
+// fail lengthens the time to avoid the gatekeeper. Failures of hops that began
+// before it was avoided don't count again.
+func (f *record) fail(now units.Instant) {
+	f.failures++
+	if f.failures <= tolerated || now.Before(f.until) {
+		return
+	}
+	f.wait = min(max(f.wait*2, shortest), longest)
+	f.until = now.Add(f.wait)
+}
+
+// Avoid reports whether the gatekeeper should not be chosen now. After the wait one
+// more hop may try it.
+func (r *Reach) Avoid(daemon ids.Daemon, now units.Instant) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.avoid(daemon, now)
+}
+
+func (r *Reach) avoid(daemon ids.Daemon, now units.Instant) bool {
+	f, known := r.bad[daemon]
+	return known && now.Before(f.until)
+}
+
+// Usable returns the daemons that need not be avoided, or all of them when none
+// would be left.
+func (r *Reach) Usable(daemons []ids.Daemon, now units.Instant) []ids.Daemon {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var rest []ids.Daemon
+	for _, d := range daemons {
+		if !r.avoid(d, now) {
+			rest = append(rest, d)
+		}
+	}
+	if len(rest) == 0 {
+		return daemons
+	}
+	return rest
+}
+
+// Forget drops a daemon that is gone for good.
+func (r *Reach) Forget(daemon ids.Daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.bad, daemon)
+}
--- /dev/null
+++ b/internal/sibling/sibling.go
@@ -0,0 +1,181 @@
+// Package sibling summarises what a target's siblings, the other targets of its
+// service, went through in the same time.
+//
+// # Usage
+//
+//	var s sibling.Summary
+//	s.Note(sample.Good{Took: 20 * time.Millisecond})
+//	usual := sibling.Median(answers)
+//
+// A Summary is a few numbers, so that it can be asked for when it is needed
+// instead of being spread all the time.
+package sibling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/sample"
+)
+
+// minSpread is the least standard deviation of the logarithm of the latency. It
+// keeps the test calm where all answers take the same time.
+const minSpread = 0.35
+
+const (
+	// fewOutcomes is the number below which a sibling's own figures say little.
+	fewOutcomes = 8
+	// minTrimmed is the least number of siblings of which the worst is left out.
+	minTrimmed = 4
+)
+
+// Summary counts outcomes. The zero value has seen none.
+type Summary struct {
+	Good int
+	Bad  int
+	// Timed is the number of good answers with a known latency.
+	Timed int
+	// Logs and Squares sum the natural logarithm of the latency in seconds, and
+	// its square.
+	Logs    float64
+	Squares float64
+}
+
+// Note adds one outcome.
+func (s *Summary) Note(x sample.Sample) {
+	switch x := x.(type) {
+	case sample.Good:
+		s.Good++
+		s.time(x.Took)
+	case sample.Late:
+		s.time(x.Waited)
+	case sample.Errored, sample.Cut, sample.Hung, sample.Unreached:
+		s.Bad++
+	case sample.Cancelled:
+	}
+}
+
+// time adds one latency; zero is an unknown one.
+func (s *Summary) time(took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	log := math.Log(took.Seconds())
+	s.Timed++
+	s.Logs += log
+	s.Squares += log * log
+}
+
+// Plus returns the sum of two summaries.
+func (s Summary) Plus(o Summary) Summary {
+	return Summary{
+		Good:    s.Good + o.Good,
+		Bad:     s.Bad + o.Bad,
+		Timed:   s.Timed + o.Timed,
+		Logs:    s.Logs + o.Logs,
+		Squares: s.Squares + o.Squares,
+	}
+}
+
+func (s Summary) minus(o Summary) Summary {
+	return Summary{
+		Good:    s.Good - o.Good,
+		Bad:     s.Bad - o.Bad,
+		Timed:   s.Timed - o.Timed,
+		Logs:    s.Logs - o.Logs,
+		Squares: s.Squares - o.Squares,
+	}
+}
+
+// Count returns the number of outcomes.
+func (s Summary) Count() int { return s.Good + s.Bad }
+
+// Share returns the share of bad outcomes.
+func (s Summary) Share() float64 { return float64(s.Bad) / float64(max(s.Count(), 1)) }
+
+// Log returns the mean logarithm of the latency.
+func (s Summary) Log() float64 { return s.Logs / float64(max(s.Timed, 1)) }
+
+// Spread returns the standard deviation of the logarithm of the latency.
+func (s Summary) Spread() float64 {
+	if s.Timed < 2 {
+		return 1
+	}
+	mean := s.Log()
+	return max(math.Sqrt(max(s.Squares/float64(s.Timed)-mean*mean, 0)), minSpread)
+}
+
+// Usual is what a healthy target of the service does at present.
+type Usual struct {
+	// Known is false until a sibling has answered.
+	Known bool
+	// Timed is false until a sibling has reported latencies.
+	Timed  bool
+	Share  float64
+	Log    float64
+	Spread float64
+}
+
+// Median returns the middle of the siblings, so that a minority of failing
+// siblings doesn't hide another failing target. Siblings with few outcomes are
+// taken together instead.
+func Median(list []Summary) Usual {
+	var u Usual
+	counted, fewCounted := seen(list, Summary.Count)
+	timed, fewTimed := seen(list, func(s Summary) int { return s.Timed })
+	if len(counted) > 0 {
+		u.Known = true
+		u.Share = middle(counted, fewCounted, Summary.Share)
+	}
+	if len(timed) > 0 {
+		u.Timed = true
+		u.Log = middle(timed, fewTimed, Summary.Log)
+		u.Spread = middle(timed, fewTimed, Summary.Spread)
+	}
+	return u
+}
+
+// seen returns the summaries that count anything, and whether one counts little.
+func seen(list []Summary, count func(Summary) int) ([]Summary, bool) {
+	var some []Summary
+	few := false
+	for _, s := range list {
+		if count(s) > 0 {
+			some = append(some, s)
+			few = few || count(s) < fewOutcomes
+		}
+	}
+	return some, few
+}
+
+// middle returns the upper median: with an even number the higher one counts, in
+// favour of the target on trial.
+func middle(list []Summary, few bool, value func(Summary) float64) float64 {
+	if few {
+		return value(Pool(list))
+	}
+	slices.SortFunc(list, func(a, b Summary) int { return cmp.Compare(value(a), value(b)) })
+	return value(list[len(list)/2])
+}
+
+// Pool returns the sum of the summaries.
+func Pool(list []Summary) Summary {
+	var sum Summary
+	for _, s := range list {
+		sum = sum.Plus(s)
+	}
+	return sum
+}
+
+// Trim returns the sum of the summaries without the one that has the highest share
+// of bad outcomes, when enough remain.
+func Trim(list []Summary) Summary {
+	sum := Pool(list)
+	if len(list) < minTrimmed {
+		return sum
+	}
+	worst := slices.MaxFunc(list, func(a, b Summary) int { return cmp.Compare(a.Share(), b.Share()) })
+	return sum.minus(worst)
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -10,11 +10,17 @@
 type kind string
 
 const (
-	kindRequest  kind = "request"
-	kindReply    kind = "reply"
-	kindRefusal  kind = "refusal"
-	kindAnnounce kind = "announce"
-	kindNoted    kind = "noted"
+	kindRequest   kind = "request"
+	kindReply     kind = "reply"
+	kindRefusal   kind = "refusal"
+	kindAnnounce  kind = "announce"
+	kindNoted     kind = "noted"
+	kindPermit    kind = "permit"
+	kindPermitted kind = "permitted"
+	kindRelease   kind = "release"
+	kindReleased  kind = "released"
+	kindCompare   kind = "compare"
+	kindSummary   kind = "summary"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -29,6 +35,18 @@
 		return kindAnnounce, nil
 	case message.Noted:
 		return kindNoted, nil
+	case message.Permit:
+		return kindPermit, nil
+	case message.Permitted:
+		return kindPermitted, nil
+	case message.Release:
+		return kindRelease, nil
+	case message.Released:
+		return kindReleased, nil
+	case message.Compare:
+		return kindCompare, nil
+	case message.Summary:
+		return kindSummary, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -46,6 +64,18 @@
 		return decodeAs[message.Announce](body)
 	case kindNoted:
 		return decodeAs[message.Noted](body)
+	case kindPermit:
+		return decodeAs[message.Permit](body)
+	case kindPermitted:
+		return decodeAs[message.Permitted](body)
+	case kindRelease:
+		return decodeAs[message.Release](body)
+	case kindReleased:
+		return decodeAs[message.Released](body)
+	case kindCompare:
+		return decodeAs[message.Compare](body)
+	case kindSummary:
+		return decodeAs[message.Summary](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
