--- a/internal/detector/stream.go
+++ b/internal/detector/stream.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/cusum"
+	"balsamwharf.example/balsamwharf/internal/recent"
 	"balsamwharf.example/balsamwharf/internal/sample"
 	"balsamwharf.example/balsamwharf/internal/sibling"
 	"balsamwharf.example/balsamwharf/internal/units"
-	"balsamwharf.example/balsamwharf/internal/window"
 )
 
 // minUnreached is the number of failed connections in a row that makes a target
@@ -20,7 +20,7 @@
 	learned units.Instant
 	errors  cusum.Cusum
 	latency cusum.Cusum
-	recent  window.Window
+	recent  recent.Recent
 	// unreached counts failed connections in a row.
 	unreached int
 	asked     units.Instant
@@ -86,7 +86,7 @@
 }
 
 func back(now units.Instant, c cusum.Cusum) time.Duration {
-	return min(now.Sub(c.Since()), window.Span)
+	return min(now.Sub(c.Since()), recent.Span)
 }
 
 // acquit forgets the evidence that the siblings' answers explain.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/permit"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -33,6 +34,7 @@
 	gossip     *gossip.Gossip
 	permit     *permit.Permit
 	ejector    *ejector.Ejector
+	relay      *relay.Relay
 }
 
 // Name implements service.Service.
@@ -40,7 +42,7 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "permit", "ejector"}
+	return []service.Name{"gatekeeper", "gossip", "relay", "permit", "ejector"}
 }
 
 // Start implements service.Service.
@@ -49,6 +51,9 @@
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
 	}
+	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
+		return err
+	}
 	if d.permit, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
 		return err
 	}
@@ -68,10 +73,16 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
+	case message.Pull:
+		return d.relay.Pull(ctx, m), nil
+	case message.Fetch:
+		return d.relay.Fetch(m)
 	case message.Permit, message.Release:
 		return d.permit.Hear(from, m), nil
 	case message.Compare:
--- a/internal/ejector/rounds.go
+++ b/internal/ejector/rounds.go
@@ -10,9 +10,9 @@
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/probation"
+	"balsamwharf.example/balsamwharf/internal/recent"
 	"balsamwharf.example/balsamwharf/internal/sibling"
 	"balsamwharf.example/balsamwharf/internal/units"
-	"balsamwharf.example/balsamwharf/internal/window"
 )
 
 const (
@@ -120,7 +120,7 @@
 
 // learn asks a few siblings how they usually fare.
 func (e *Ejector) learn(ctx context.Context, p *patient) {
-	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Window: window.Span})
+	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Window: recent.Span})
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -133,7 +134,7 @@
 	}
 	d.set.Identity = settings.Identity{Daemon: id, Centre: d.Centre, Region: "home"}
 	d.set.Logging.Level = "info"
-	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second}
+	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second, Retention: 24 * time.Hour}
 	f.Daemons = append(f.Daemons, d)
 	return nil
 }
@@ -190,19 +191,25 @@
 
 // Close stops everything.
 func (f *Fleet) Close() {
+	var wg sync.WaitGroup
 	for _, d := range f.Daemons {
-		if d.App != nil {
-			_ = d.App.Stop()
-		}
-		if d.backend != nil {
-			d.backend.CloseClientConnections()
-			d.backend.Close()
-		}
+		wg.Go(d.close)
 	}
+	wg.Wait()
 	f.server.CloseClientConnections()
 	f.server.Close()
 }
 
+func (d *Daemon) close() {
+	if d.App != nil {
+		_ = d.App.Stop()
+	}
+	if d.backend != nil {
+		d.backend.CloseClientConnections()
+		d.backend.Close()
+	}
+}
+
 // Edit publishes a section and waits until every daemon has applied it.
 func (f *Fleet) Edit(path ids.Path, values map[string]string) error {
 	base := ids.Offset(0)
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -13,14 +13,20 @@
 	kindRequest   kind = "request"
 	kindReply     kind = "reply"
 	kindRefusal   kind = "refusal"
-	kindAnnounce  kind = "announce"
-	kindNoted     kind = "noted"
 	kindPermit    kind = "permit"
 	kindPermitted kind = "permitted"
 	kindRelease   kind = "release"
 	kindReleased  kind = "released"
 	kindCompare   kind = "compare"
 	kindSummary   kind = "summary"
+	kindAnnounce  kind = "announce"
+	kindNoted     kind = "noted"
+	kindProbe     kind = "probe"
+	kindProbed    kind = "probed"
+	kindPiece     kind = "piece"
+	kindFetch     kind = "fetch"
+	kindRecords   kind = "records"
+	kindPull      kind = "pull"
 )
 
 func kindOf(m message.Message) (kind, error) {
@@ -31,10 +37,6 @@
 		return kindReply, nil
 	case message.Refusal:
 		return kindRefusal, nil
-	case message.Announce:
-		return kindAnnounce, nil
-	case message.Noted:
-		return kindNoted, nil
 	case message.Permit:
 		return kindPermit, nil
 	case message.Permitted:
@@ -47,6 +49,22 @@
 		return kindCompare, nil
 	case message.Summary:
 		return kindSummary, nil
+	case message.Announce:
+		return kindAnnounce, nil
+	case message.Noted:
+		return kindNoted, nil
+	case message.Probe:
+		return kindProbe, nil
+	case message.Probed:
+		return kindProbed, nil
+	case message.Piece:
+		return kindPiece, nil
+	case message.Fetch:
+		return kindFetch, nil
+	case message.Records:
+		return kindRecords, nil
+	case message.Pull:
+		return kindPull, nil
 	default:
 		return "", errorx.IllegalArgument.New("no encoding for message %T", m)
 	}
@@ -60,10 +78,6 @@
 		return decodeAs[message.Reply](body)
 	case kindRefusal:
 		return decodeAs[message.Refusal](body)
-	case kindAnnounce:
-		return decodeAs[message.Announce](body)
-	case kindNoted:
-		return decodeAs[message.Noted](body)
 	case kindPermit:
 		return decodeAs[message.Permit](body)
 	case kindPermitted:
@@ -76,6 +90,22 @@
 		return decodeAs[message.Compare](body)
 	case kindSummary:
 		return decodeAs[message.Summary](body)
+	case kindAnnounce:
+		return decodeAs[message.Announce](body)
+	case kindNoted:
+		return decodeAs[message.Noted](body)
+	case kindProbe:
+		return decodeAs[message.Probe](body)
+	case kindProbed:
+		return decodeAs[message.Probed](body)
+	case kindPiece:
+		return decodeAs[message.Piece](body)
+	case kindFetch:
+		return decodeAs[message.Fetch](body)
+	case kindRecords:
+		return decodeAs[message.Records](body)
+	case kindPull:
+		return decodeAs[message.Pull](body)
 	default:
 		return nil, errorx.IllegalFormat.New("message has the unknown kind %q", k)
 	}
