--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -20,8 +20,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/gossip"
@@ -47,20 +45,11 @@
 	gossip    *gossip.Gossip
 	peers     peer.Caller
 	permits   *permit.Permit
-	meters    meters
 
 	mu      sync.Mutex
 	targets map[ids.Target]*patient
 }
 
-// meters are the ejector's metrics.
-type meters struct {
-	ejections    metrics.Counter
-	readmissions metrics.Counter
-	refusals     metrics.Counter
-	statistic    metrics.GaugeFloat64
-}
-
 // Target is a backend server of this VM.
 type Target struct {
 	ID      ids.Target
@@ -94,12 +83,6 @@
 	if e.permits, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
 		return err
 	}
-	e.meters = meters{
-		ejections:    metrics.GetOrRegisterCounter("ejector.ejections", e.Common.Metrics),
-		readmissions: metrics.GetOrRegisterCounter("ejector.readmissions", e.Common.Metrics),
-		refusals:     metrics.GetOrRegisterCounter("ejector.refusals", e.Common.Metrics),
-		statistic:    metrics.GetOrRegisterGaugeFloat64("ejector.statistic", e.Common.Metrics),
-	}
 	go e.run(ctx)
 	return nil
 }
--- a/internal/ejector/rounds.go
+++ b/internal/ejector/rounds.go
@@ -9,6 +9,7 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/probation"
 	"balsamwharf.example/balsamwharf/internal/recent"
 	"balsamwharf.example/balsamwharf/internal/sibling"
@@ -26,6 +27,8 @@
 	maxAsked = 5
 	// compareTimeout bounds one question to a sibling.
 	compareTimeout = 150 * time.Millisecond
+	// hundredths is the unit in which the statistic is shown.
+	hundredths = 100
 )
 
 // run looks at all targets in each tick.
@@ -56,7 +59,7 @@
 		}
 	}
 	e.mu.Unlock()
-	e.meters.statistic.Update(statistic)
+	metric.Suspicion.Gauge(e.Common.Metrics).Update(int64(statistic * hundredths))
 	for _, step := range due {
 		go step()
 	}
--- a/internal/ejector/verdicts.go
+++ b/internal/ejector/verdicts.go
@@ -13,6 +13,7 @@
 	"balsamwharf.example/balsamwharf/internal/detector"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/internal/probation"
 )
@@ -34,7 +35,6 @@
 	case permit.Held:
 		e.out(p, a)
 	case permit.Denied:
-		e.meters.refusals.Inc(1)
 		e.Common.Warn(event.FloorReached, append(fields(p.target, f), zap.String("refusal", string(a.Reason)))...)
 		e.deny(p)
 	case permit.Silent:
@@ -57,7 +57,7 @@
 	f := p.finding
 	wait := p.probation.Wait()
 	e.mu.Unlock()
-	e.meters.ejections.Inc(1)
+	metric.Ejections.Counter(e.Common.Metrics).Inc(1)
 	e.Common.Warn(event.TargetEjected, append(fields(p.target, f), zap.Duration("probation", wait))...)
 	e.mark()
 }
@@ -131,7 +131,7 @@
 	claim := p.claim()
 	p.until = 0
 	e.mu.Unlock()
-	e.meters.readmissions.Inc(1)
+	metric.Readmissions.Counter(e.Common.Metrics).Inc(1)
 	e.Common.Info(event.TargetReadmitted, append(about(p.target), zap.String("why", "trial"))...)
 	e.mark()
 	e.permits.Release(ctx, claim)
@@ -139,7 +139,7 @@
 
 // lapsed tells of a target that came back because its permit ran out.
 func (e *Ejector) lapsed(p *patient) {
-	e.meters.readmissions.Inc(1)
+	metric.Readmissions.Counter(e.Common.Metrics).Inc(1)
 	e.Common.Warn(event.TargetReadmitted, append(about(p.target), zap.String("why", "permit"))...)
 	e.mark()
 }
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -59,6 +59,8 @@
 type Capacity struct {
 	// Announced is the sum of the slots of all targets that don't leave.
 	Announced units.Slots
+	// Healthy is the part of Announced on VMs that can be reached.
+	Healthy units.Slots
 	// Floor is the share that must stay in use.
 	Floor units.Percent
 }
@@ -66,7 +68,7 @@
 // Room returns the slots that may be out at once.
 func (c Capacity) Room() units.Slots {
 	kept := units.Slots(math.Ceil(float64(c.Announced) * float64(c.Floor) / 100))
-	return max(c.Announced-kept, 0)
+	return max(c.Healthy-kept, 0)
 }
 
 // Decision is the answer to a claim. The interface is sealed.
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -19,13 +19,12 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/floor"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tail"
@@ -50,7 +49,6 @@
 	directory *directory.Directory
 	peers     peer.Caller
 	standing  standing.Standing
-	refused   metrics.Counter
 
 	mu     sync.Mutex
 	number uint64
@@ -105,7 +103,6 @@
 	if p.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
-	p.refused = metrics.GetOrRegisterCounter("permits.refused", p.Common.Metrics)
 	go p.run(ctx)
 	return nil
 }
@@ -147,7 +144,7 @@
 	case answer.Reason == string(notSteward):
 		return Silent{}
 	}
-	p.refused.Inc(1)
+	metric.Refusals.Counter(p.Common.Metrics).Inc(1)
 	return Denied{Reason: floor.Reason(answer.Reason)}
 }
 
--- a/internal/permit/steward.go
+++ b/internal/permit/steward.go
@@ -5,6 +5,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/floor"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/settings"
@@ -92,7 +93,7 @@
 }
 
 // capacity sums up the targets of a service that don't leave, as the directory has
-// them now.
+// them now. Those on lost VMs count for the floor but not as healthy.
 func (p *Permit) capacity(id ids.Service) (floor.Capacity, bool) {
 	var set settings.Service
 	var ok bool
@@ -105,11 +106,21 @@
 		if m.Leaving || m.Gone {
 			continue
 		}
-		for _, t := range m.Targets {
-			if t.Service == id && !t.Leaving {
-				c.Announced += t.Slots
-			}
+		slots := slotsOf(m, id)
+		c.Announced += slots
+		if !p.directory.Lost(m.Daemon) {
+			c.Healthy += slots
 		}
 	}
 	return c, true
 }
+
+func slotsOf(m member.Member, id ids.Service) units.Slots {
+	var sum units.Slots
+	for _, t := range m.Targets {
+		if t.Service == id && !t.Leaving {
+			sum += t.Slots
+		}
+	}
+	return sum
+}
