--- /dev/null
+++ b/internal/detector/detector_test.go
@@ -0,0 +1,138 @@
+package detector_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/detector"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/sample"
+	"balsamwharf.example/balsamwharf/internal/sibling"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	gap   = 50 * time.Millisecond
+	usual = 50 * time.Millisecond
+	quote = ids.Route("andrade/quotes")
+)
+
+// summary is a sibling with the given outcomes and latency.
+func summary(good, bad int, took time.Duration) sibling.Summary {
+	log := math.Log(took.Seconds())
+	return sibling.Summary{Good: good, Bad: bad, Timed: good, Logs: float64(good) * log, Squares: float64(good) * log * log}
+}
+
+func times(n int, x sample.Sample) []sample.Sample {
+	var list []sample.Sample
+	for range n {
+		list = append(list, x)
+	}
+	return list
+}
+
+// run notes the outcomes and returns the finding of the first question, or nil.
+func run(outcomes []sample.Sample, answers []sibling.Summary) detector.Finding {
+	var d detector.Detector
+	d.Learn(0, []sibling.Summary{summary(200, 0, usual)})
+	now := units.Instant(time.Second)
+	for range 100 {
+		now = now.Add(gap)
+		d.Note(now, "", sample.Good{Took: usual})
+	}
+	for _, x := range outcomes {
+		now = now.Add(gap)
+		d.Note(now, "", x)
+		if q, ok := d.Question(now); ok {
+			return d.Judge(now, q, answers)
+		}
+	}
+	return nil
+}
+
+func TestJudge(t *testing.T) {
+	healthy := []sibling.Summary{summary(40, 0, usual), summary(40, 0, usual), summary(40, 0, usual)}
+	failing := []sibling.Summary{summary(5, 35, usual), summary(5, 35, usual), summary(5, 35, usual)}
+	slow := []sibling.Summary{summary(40, 0, 5*usual), summary(40, 0, 5*usual), summary(40, 0, 5*usual)}
+	mixed := []sibling.Summary{summary(40, 0, usual), summary(40, 0, usual), summary(2, 38, usual), summary(40, 0, usual)}
+	cases := []struct {
+		name     string
+		outcomes []sample.Sample
+		answers  []sibling.Summary
+		failing  bool
+		reason   detector.Reason
+	}{
+		{name: "errors", outcomes: times(5, sample.Errored{}), answers: healthy, failing: true, reason: detector.Errors},
+		{name: "cuts", outcomes: times(5, sample.Cut{}), answers: healthy, failing: true, reason: detector.Errors},
+		{name: "hangs", outcomes: times(5, sample.Hung{}), answers: healthy, failing: true, reason: detector.Errors},
+		{name: "slow", outcomes: times(20, sample.Good{Took: 5 * usual}), answers: healthy, failing: true, reason: detector.Slow},
+		{name: "late", outcomes: times(20, sample.Late{Waited: 5 * usual}), answers: healthy, failing: true, reason: detector.Slow},
+		{name: "refuses", outcomes: times(5, sample.Unreached{}), answers: healthy, failing: true, reason: detector.Unreachable},
+		{name: "another sibling fails too", outcomes: times(5, sample.Errored{}), answers: mixed, failing: true, reason: detector.Errors},
+		{name: "refuses without siblings", outcomes: times(5, sample.Unreached{}), failing: true, reason: detector.Unreachable},
+		{name: "errors without siblings", outcomes: times(50, sample.Errored{})},
+		{name: "four in a row", outcomes: times(4, sample.Errored{}), answers: healthy},
+		{name: "four refused", outcomes: times(4, sample.Unreached{}), answers: healthy},
+		{name: "four slow", outcomes: times(4, sample.Good{Took: 100 * usual}), answers: healthy},
+		{name: "siblings err too", outcomes: times(20, sample.Errored{}), answers: failing},
+		{name: "siblings are slow too", outcomes: times(20, sample.Good{Took: 5 * usual}), answers: slow},
+		{name: "siblings refuse too", outcomes: times(20, sample.Unreached{}), answers: failing},
+		{name: "cancelled", outcomes: times(200, sample.Cancelled{}), answers: healthy},
+		{name: "short deadlines", outcomes: times(200, sample.Late{Waited: usual / 5}), answers: healthy},
+		{name: "unknown latency", outcomes: times(200, sample.Good{}), answers: healthy},
+		{name: "twice as slow now and then", outcomes: append(times(3, sample.Good{Took: 2 * usual}), times(50, sample.Good{Took: usual})...), answers: healthy},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f, failing := run(c.outcomes, c.answers).(detector.Failing)
+			must.EqOp(t, c.failing, failing)
+			must.EqOp(t, c.reason, f.Question.Reason)
+		})
+	}
+}
+
+// One failing route of many is found although the target as a whole looks well.
+func TestRoute(t *testing.T) {
+	var d detector.Detector
+	d.Learn(0, []sibling.Summary{summary(200, 0, usual)})
+	now := units.Instant(time.Second)
+	for range 50 {
+		for range 20 {
+			now = now.Add(gap)
+			d.Note(now, "andrade/sheets", sample.Good{Took: usual})
+		}
+		d.Note(now, quote, sample.Errored{})
+		q, ok := d.Question(now)
+		if !ok {
+			continue
+		}
+		must.EqOp(t, quote, q.Route)
+		if _, failing := d.Judge(now, q, []sibling.Summary{summary(20, 0, usual), summary(20, 0, usual)}).(detector.Failing); failing {
+			return
+		}
+	}
+	t.Fatal("the failing route was not found")
+}
+
+// Routes over the bound still count for the target.
+func TestManyRoutes(t *testing.T) {
+	var d detector.Detector
+	for i := range 1000 {
+		d.Note(units.Instant(time.Second), ids.Route(rune('a'+i)), sample.Errored{})
+	}
+	must.EqOp(t, 1000, d.Since(units.Instant(time.Second), "", time.Second).Bad)
+}
+
+func BenchmarkNote(b *testing.B) {
+	var d detector.Detector
+	d.Learn(0, []sibling.Summary{summary(200, 0, usual)})
+	now := units.Instant(0)
+	for b.Loop() {
+		now = now.Add(gap)
+		d.Note(now, quote, sample.Good{Took: usual})
+		d.Question(now)
+	}
+}
--- /dev/null
+++ b/internal/probation/probation_test.go
@@ -0,0 +1,60 @@
+package probation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/probation"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+func at(d time.Duration) units.Instant { return units.Instant(d) }
+
+// pass takes a target through its trial.
+func pass(t *testing.T, p *probation.Probation, now units.Instant) {
+	t.Helper()
+	p.Try(now)
+	for range 4 {
+		must.False(t, p.Good(now))
+	}
+	must.True(t, p.Good(now))
+	must.EqOp(t, probation.In, p.Stage())
+}
+
+func TestRelapseDoubles(t *testing.T) {
+	var p probation.Probation
+	now := at(time.Hour)
+	for _, want := range []time.Duration{5, 10, 20, 40, 80, 160, 300, 300} {
+		p.Eject(now)
+		must.EqOp(t, want*time.Second, p.Wait())
+		must.False(t, p.Due(now.Add(p.Wait()-1)))
+		now = now.Add(p.Wait())
+		must.True(t, p.Due(now))
+		pass(t, &p, now)
+		now = now.Add(10 * time.Second)
+	}
+}
+
+func TestGoodTimeForgives(t *testing.T) {
+	var p probation.Probation
+	p.Eject(at(0))
+	p.Try(at(time.Second))
+	p.Bad(at(2 * time.Second))
+	must.EqOp(t, 10*time.Second, p.Wait())
+	pass(t, &p, at(20*time.Second))
+	p.Eject(at(20*time.Second + 2*time.Minute))
+	must.EqOp(t, 5*time.Second, p.Wait())
+}
+
+func TestFailedTrial(t *testing.T) {
+	var p probation.Probation
+	p.Eject(at(0))
+	p.Try(at(5 * time.Second))
+	must.False(t, p.Good(at(5*time.Second)))
+	p.Bad(at(6 * time.Second))
+	must.EqOp(t, probation.Out, p.Stage())
+	must.False(t, p.Due(at(15*time.Second)))
+	must.True(t, p.Due(at(16*time.Second)))
+}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,45 @@
+package reach_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/reach"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+func TestAvoid(t *testing.T) {
+	var r reach.Reach
+	now := units.Instant(0)
+	r.Note("a", false, now)
+	must.False(t, r.Avoid("a", now))
+	for _, want := range []time.Duration{500, 1000, 2000, 4000, 8000, 16000, 30000, 30000} {
+		r.Note("a", false, now)
+		r.Note("a", false, now)
+		wait := want * time.Millisecond
+		must.True(t, r.Avoid("a", now.Add(wait-1)))
+		must.False(t, r.Avoid("a", now.Add(wait)))
+		must.False(t, r.Avoid("b", now))
+		now = now.Add(wait)
+	}
+	r.Note("a", true, now)
+	r.Note("a", false, now)
+	must.False(t, r.Avoid("a", now))
+}
+
+// All gatekeepers unreachable means that the fault is probably this side's.
+func TestNeverAvoidsAll(t *testing.T) {
+	var r reach.Reach
+	all := []ids.Daemon{"a", "b"}
+	for range 2 {
+		r.Note("a", false, 0)
+	}
+	must.Eq(t, []ids.Daemon{"b"}, r.Usable(all, 0))
+	for range 2 {
+		r.Note("b", false, 0)
+	}
+	must.Eq(t, all, r.Usable(all, 0))
+}
