--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -83,6 +83,16 @@
 	Statistic float64
 }
 
+// Badness is the evidence of one outcome, so that targets can be ranked by how badly
+// they fail and not by how long.
+func (f Failing) Badness() float64 {
+	n := f.Own.Count()
+	if f.Question.Reason == Slow {
+		n = f.Own.Timed
+	}
+	return f.Statistic / float64(max(n, 1))
+}
+
 func (Sound) isFinding()   {}
 func (Open) isFinding()    {}
 func (Failing) isFinding() {}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -34,6 +34,14 @@
 	return list
 }
 
+func interleave(n int, a, b sample.Sample) []sample.Sample {
+	var list []sample.Sample
+	for range n {
+		list = append(list, a, b)
+	}
+	return list
+}
+
 // run notes the outcomes and returns the finding of the first question, or nil.
 func run(outcomes []sample.Sample, answers []sibling.Summary) detector.Finding {
 	var d detector.Detector
@@ -82,6 +90,7 @@
 		{name: "siblings refuse too", outcomes: times(20, sample.Unreached{}), answers: failing},
 		{name: "cancelled", outcomes: times(200, sample.Cancelled{}), answers: healthy},
 		{name: "short deadlines", outcomes: times(200, sample.Late{Waited: usual / 5}), answers: healthy},
+		{name: "slow between short deadlines", outcomes: interleave(30, sample.Good{Took: 5 * usual}, sample.Late{Waited: usual / 5}), answers: healthy, failing: true, reason: detector.Slow},
 		{name: "unknown latency", outcomes: times(200, sample.Good{}), answers: healthy},
 		{name: "twice as slow now and then", outcomes: append(times(3, sample.Good{Took: 2 * usual}), times(50, sample.Good{Took: usual})...), answers: healthy},
 	}
@@ -94,6 +103,13 @@
 	}
 }
 
+// Evidence that the siblings explain is dropped at once.
+func TestSound(t *testing.T) {
+	failing := []sibling.Summary{summary(5, 35, usual), summary(5, 35, usual)}
+	must.Eq(t, detector.Finding(detector.Sound{}), run(times(20, sample.Errored{}), failing))
+	must.Eq(t, detector.Finding(detector.Open{}), run(times(20, sample.Errored{}), nil))
+}
+
 // One failing route of many is found although the target as a whole looks well.
 func TestRoute(t *testing.T) {
 	var d detector.Detector
--- a/internal/ejector/verdicts.go
+++ b/internal/ejector/verdicts.go
@@ -22,7 +22,7 @@
 const probeTimeout = time.Second
 
 func (p *patient) claim() permit.Claim {
-	return permit.Claim{Service: p.target.Service, Target: p.target.ID, Slots: p.target.Slots, Badness: p.finding.Statistic}
+	return permit.Claim{Service: p.target.Service, Target: p.target.ID, Slots: p.target.Slots, Badness: p.finding.Badness()}
 }
 
 // eject takes a failing target out of use if the steward permits it.
