--- /dev/null
+++ b/internal/permit/steward.go
@@ -0,0 +1,153 @@
+package permit
+
+import (
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/floor"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// notSteward is the reason of a daemon that may not decide.
+const notSteward floor.Reason = "steward"
+
+// stewardWait is how long a new steward waits: until the leases of its predecessor
+// have lapsed.
+const stewardWait = floor.Lease + floor.Margin
+
+// Hear answers a question to the steward.
+func (p *Permit) Hear(from ids.Daemon, m message.Message) message.Message {
+	switch m := m.(type) {
+	case message.Permit:
+		return p.grant(from, m)
+	case message.Release:
+		p.release(from, m)
+		return message.Released{}
+	default:
+		return message.Permitted{Reason: string(notSteward)}
+	}
+}
+
+// Steward returns the steward of a service by the roster.
+func Steward(r roster.Roster, id ids.Service) (ids.Daemon, bool) {
+	top := rendezvous.Top("steward "+string(id), r.Daemons(), 1)
+	if len(top) == 0 {
+		return "", false
+	}
+	return top[0], true
+}
+
+// observe notes the roster in force while this daemon is confirmed.
+func (p *Permit) observe() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.standing.Confirmed() {
+		p.tenure.Observe(p.Common.Clock.Now(), p.standing.Roster())
+	}
+}
+
+// settled reports whether this daemon has been the steward of the service for so
+// long that nothing a predecessor granted is still in use.
+func (p *Permit) settled(now units.Instant, id ids.Service) bool {
+	if !p.standing.Confirmed() {
+		return false
+	}
+	p.tenure.Observe(now, p.standing.Roster())
+	self, incarnation := p.standing.Self()
+	since, ok := p.tenure.Since(func(r roster.Roster) bool {
+		steward, ok := Steward(r, id)
+		entry, _ := r.Find(self)
+		return ok && steward == self && entry.Incarnation == incarnation
+	})
+	return ok && now.Sub(since) >= stewardWait
+}
+
+// book finds the permits of a service.
+func (p *Permit) book(id ids.Service) *floor.Floor {
+	if p.books == nil {
+		p.books = map[ids.Service]*floor.Floor{}
+	}
+	b, ok := p.books[id]
+	if !ok {
+		b = &floor.Floor{}
+		p.books[id] = b
+	}
+	return b
+}
+
+func (p *Permit) grant(from ids.Daemon, m message.Permit) message.Permitted {
+	capacity, ok := p.capacity(m.Service)
+	if !ok {
+		return message.Permitted{Reason: string(notSteward)}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Common.Clock.Now()
+	if !p.settled(now, m.Service) {
+		return message.Permitted{Reason: string(notSteward)}
+	}
+	return p.decide(now, p.book(m.Service), from, m, capacity)
+}
+
+func (p *Permit) decide(now units.Instant, b *floor.Floor, from ids.Daemon, m message.Permit, capacity floor.Capacity) message.Permitted {
+	claim := floor.Claim{
+		Holder:  floor.Holder{Daemon: from, Incarnation: m.Incarnation, Target: m.Target},
+		Number:  m.Number,
+		Slots:   m.Slots,
+		Badness: m.Badness,
+	}
+	switch d := b.Ask(now, claim, capacity).(type) {
+	case floor.Granted:
+		p.Common.Invariant.Check(b.Out(now) <= capacity.Room(), "ejection below floor", zap.String("service", string(m.Service)))
+		return message.Permitted{Granted: true}
+	case floor.Refused:
+		return message.Permitted{Reason: string(d.Reason)}
+	}
+	return message.Permitted{Reason: string(notSteward)}
+}
+
+func (p *Permit) release(from ids.Daemon, m message.Release) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	holder := floor.Holder{Daemon: from, Incarnation: m.Incarnation, Target: m.Target}
+	p.book(m.Service).Release(p.Common.Clock.Now(), holder, m.Number)
+}
+
+// capacity sums up the targets of a service that don't leave, as the directory has
+// them now. Those on lost VMs count for the floor but not as healthy.
+func (p *Permit) capacity(id ids.Service) (floor.Capacity, bool) {
+	var set settings.Service
+	var ok bool
+	p.tail.View(func(s *replay.State) { set, ok = s.Service(id) })
+	if !ok {
+		return floor.Capacity{}, false
+	}
+	c := floor.Capacity{Floor: set.Floor}
+	for _, m := range p.directory.Members() {
+		if m.Leaving || m.Gone {
+			continue
+		}
+		slots := slotsOf(m, id)
+		c.Announced += slots
+		if !p.directory.Lost(m.Daemon) {
+			c.Healthy += slots
+		}
+	}
+	return c, true
+}
+
+func slotsOf(m member.Member, id ids.Service) units.Slots {
+	var sum units.Slots
+	for _, t := range m.Targets {
+		if t.Service == id && !t.Leaving {
+			sum += t.Slots
+		}
+	}
+	return sum
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -50,6 +50,12 @@
 	formOf[message.GuardCopied]("guardcopied"),
 	formOf[message.GuardEnd]("guardend"),
 	formOf[message.GuardEnded]("guardended"),
+	formOf[message.Permit]("permit"),
+	formOf[message.Permitted]("permitted"),
+	formOf[message.Release]("release"),
+	formOf[message.Released]("released"),
+	formOf[message.Compare]("compare"),
+	formOf[message.Summary]("summary"),
 }
 
 var (
