--- a/internal/confirm/confirm_test.go
+++ b/internal/confirm/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,8 +85,12 @@
 	return count
 }
 
-// fleet runs a test in virtual time on daemons in three data centres.
+// fleet runs a test in virtual time on daemons in three data centres. It uses one
+// processor: the race detector keeps one context for all timers of a bubble and
+// crashes when two processors run such timers at once.
 func fleet(t *testing.T, count int, test func(t *testing.T, n *network)) {
+	t.Helper()
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		for i := range count {
