--- /dev/null
+++ b/internal/entry/once_test.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
+
+// Only a small answer that was read whole is kept for repeats.
+func TestKept(t *testing.T) {
+	cases := []struct {
+		name string
+		body io.Reader
+		kept bool
+	}{
+		{name: "whole", body: strings.NewReader("done"), kept: true},
+		{name: "empty", body: strings.NewReader(""), kept: true},
+		{name: "cut", body: io.MultiReader(strings.NewReader("do"), cut{})},
+		{name: "too large", body: bytes.NewReader(make([]byte, maxKeptAnswer+1))},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			done := false
+			k := &kept{ReadCloser: io.NopCloser(c.body), done: func([]byte) { done = true }}
+			_, _ = io.Copy(io.Discard, k)
+			must.EqOp(t, c.kept, done)
+		})
+	}
+}
+
+// cut is a body that fails.
+type cut struct{}
+
+// Read implements io.Reader.
+func (cut) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Requests that differ in what a backend server acts on have different digests.
+func TestDigest(t *testing.T) {
+	seen := map[ids.Hash]bool{}
+	for _, head := range []call.Head{{Method: "POST", Target: "/a"}, {Method: "PATCH", Target: "/a"}, {Method: "POST", Target: "/b"}, {Method: "POST", Target: "/a", Host: "h"}} {
+		for _, body := range []string{"", "x", "y"} {
+			seen[digest(head, &replayBody{kept: []byte(body)})] = true
+		}
+	}
+	must.MapLen(t, 12, seen)
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -24,8 +24,9 @@
 // Top returns the n daemons with the highest weights for the thing, highest first.
 func Top(thing string, daemons []ids.Daemon, n int) []ids.Daemon {
 	all := make([]scored, 0, len(daemons))
+	t := ThingOf(thing)
 	for _, d := range daemons {
-		all = append(all, scored{id: d, weight: weight(thing, d)})
+		all = append(all, scored{id: d, weight: t.Weight(d)})
 	}
 	slices.SortFunc(all, func(a, b scored) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
@@ -37,11 +38,17 @@
 	return top
 }
 
-func weight(thing string, d ids.Daemon) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	_, _ = h.WriteString(thing)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.WriteString(string(d))
-	return h.Sum64()
+// Thing is the hash of a thing, for the weights of many daemons.
+type Thing uint64
+
+// ThingOf hashes a thing.
+func ThingOf(thing string) Thing { return Thing(xxhash.Sum64String(thing)) }
+
+// Weight returns the weight of a daemon for the thing. The two hashes are mixed by
+// the finalizer of splitmix64, so that things share no order of daemons.
+func (t Thing) Weight(d ids.Daemon) uint64 {
+	x := uint64(t)*0x9e3779b97f4a7c15 + xxhash.Sum64String(string(d))
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -9,6 +9,7 @@
 package share
 
 import (
+	"maps"
 	"slices"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
@@ -57,20 +58,20 @@
 // Spread returns up to n daemons for a thing, by rendezvous hashing: first the
 // best daemon of each data centre, then the best of the rest.
 func Spread(thing string, r roster.Roster, n int) []ids.Daemon {
-	centres := map[ids.Daemon]ids.Centre{}
+	best := map[ids.Centre]ids.Daemon{}
+	weights := map[ids.Centre]uint64{}
+	t := rendezvous.ThingOf(thing)
 	for _, e := range r.Entries {
-		centres[e.Daemon] = e.Centre
-	}
-	all := rendezvous.Top(thing, r.Daemons(), len(r.Entries))
-	used := map[ids.Centre]bool{}
-	var picked []ids.Daemon
-	for _, d := range all {
-		if len(picked) < n && !used[centres[d]] {
-			used[centres[d]] = true
-			picked = append(picked, d)
+		w := t.Weight(e.Daemon)
+		if old, ok := best[e.Centre]; !ok || w > weights[e.Centre] || (w == weights[e.Centre] && e.Daemon < old) {
+			best[e.Centre], weights[e.Centre] = e.Daemon, w
 		}
 	}
-	for _, d := range all {
+	picked := rendezvous.Top(thing, slices.Collect(maps.Values(best)), n)
+	if len(picked) == n || len(picked) == len(r.Entries) {
+		return picked
+	}
+	for _, d := range rendezvous.Top(thing, r.Daemons(), len(r.Entries)) {
 		if len(picked) < n && !slices.Contains(picked, d) {
 			picked = append(picked, d)
 		}
