--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,12 +9,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/guard"
@@ -35,6 +37,7 @@
 	lender     *lender.Lender
 	guard      *guard.Guard
 	relay      *relay.Relay
+	confirm    *confirm.Confirm
 }
 
 // Name implements service.Service.
@@ -42,11 +45,23 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
+	return []service.Name{
+		"gatekeeper",
+		"gossip",
+		"relay",
+		"confirm",
+	}
 	return []service.Name{"gatekeeper", "gossip", "lender", "relay", "guard"}
 }
 
 // Start implements service.Service.
 func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
+	return errors.Join(
+		kernel.Bind(f, "gatekeeper", &d.gatekeeper),
+		kernel.Bind(f, "gossip", &d.gossip),
+		kernel.Bind(f, "relay", &d.relay),
+		kernel.Bind(f, "confirm", &d.confirm),
+	)
 	var err error
 	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
 		return err
@@ -93,6 +108,8 @@
 		return d.relay.Pull(ctx, m), nil
 	case message.Fetch:
 		return d.relay.Fetch(m)
+	case message.Question:
+		return d.confirm.Answer(), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- /dev/null
+++ b/internal/replay/roster.go
@@ -0,0 +1,102 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/roster"
+)
+
+// maxRosters bounds the rosters kept. A roster is proposed only once the one
+// before is in force, so more than two are rare.
+const maxRosters = 8
+
+// rosters holds the newest rosters, oldest first.
+type rosters struct {
+	kept []roster.Roster
+	// since is the offset from which on no roster is missing.
+	since ids.Offset
+	// settled is an offset in force as a snapshot told it; it is not part of the
+	// digest, because daemons learn it at different times.
+	settled ids.Offset
+	digest  Digest
+}
+
+// newest returns the roster as of the last record.
+func (r *rosters) newest() roster.Roster {
+	if len(r.kept) == 0 {
+		return roster.Roster{}
+	}
+	return r.kept[len(r.kept)-1]
+}
+
+// load starts from the rosters of a snapshot's first part.
+func (r *rosters) load(part record.Snapshot) {
+	r.kept = slices.Clone(part.Rosters)
+	r.since = part.Since
+	r.settled = part.Settled
+	r.digest = r.sum()
+}
+
+// sum hashes the versions and the members of all rosters kept; it is 0 when
+// there is none.
+func (r *rosters) sum() Digest {
+	if len(r.kept) == 0 {
+		return 0
+	}
+	var h xxhash.Digest
+	h.Reset()
+	writeOffset(&h, r.since)
+	for _, one := range r.kept {
+		writeOffset(&h, one.Version)
+		for _, e := range one.Entries {
+			write(&h, string(e.Daemon), string(e.Centre), string(e.Region), strconv.FormatBool(e.Witness))
+			writeOffset(&h, ids.Offset(e.Incarnation))
+		}
+	}
+	return Digest(h.Sum64())
+}
+
+// apply makes a new roster unless the change has a stale base.
+func (r *rosters) apply(at ids.Offset, change record.Roster) Outcome {
+	old := r.newest()
+	if change.Base != old.Version {
+		return Conflict{Current: old.Version}
+	}
+	entries := map[ids.Daemon]roster.Entry{}
+	for _, e := range old.Entries {
+		entries[e.Daemon] = e
+	}
+	for _, id := range change.Remove {
+		delete(entries, id)
+	}
+	for _, e := range change.Put {
+		entries[e.Daemon] = e
+	}
+	next := roster.Roster{Version: at}
+	for _, e := range entries {
+		next.Entries = append(next.Entries, e)
+	}
+	slices.SortFunc(next.Entries, func(a, b roster.Entry) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	r.kept = append(r.kept, next)
+	if len(r.kept) > maxRosters {
+		r.kept = slices.Clone(r.kept[1:])
+		r.since = r.kept[0].Version
+	}
+	r.digest = r.sum()
+	return Accepted{Version: at}
+}
+
+// Rosters returns the newest rosters, oldest first, and the offset from which on
+// none is missing. The rosters must not be changed.
+func (s *State) Rosters() (kept []roster.Roster, since ids.Offset) {
+	return slices.Clone(s.rosters.kept), s.rosters.since
+}
+
+// Settled returns an offset that a snapshot proved to be in force, or zero.
+func (s *State) Settled() ids.Offset { return s.rosters.settled }
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -10,6 +10,19 @@
 type kind string
 
 const (
+	kindRequest  kind = "request"
+	kindReply    kind = "reply"
+	kindRefusal  kind = "refusal"
+	kindAnnounce kind = "announce"
+	kindNoted    kind = "noted"
+	kindProbe    kind = "probe"
+	kindProbed   kind = "probed"
+	kindPiece    kind = "piece"
+	kindFetch    kind = "fetch"
+	kindRecords  kind = "records"
+	kindPull     kind = "pull"
+	kindAsk      kind = "ask"
+	kindConfirm  kind = "confirm"
 	kindRequest     kind = "request"
 	kindReply       kind = "reply"
 	kindRefusal     kind = "refusal"
@@ -61,6 +74,10 @@
 		return kindRecords, nil
 	case message.Pull:
 		return kindPull, nil
+	case message.Question:
+		return kindAsk, nil
+	case message.Confirmation:
+		return kindConfirm, nil
 	case message.GuardBegin:
 		return kindGuardBegin, nil
 	case message.GuardBegan:
@@ -110,6 +127,10 @@
 		return decodeAs[message.Records](body)
 	case kindPull:
 		return decodeAs[message.Pull](body)
+	case kindAsk:
+		return decodeAs[message.Question](body)
+	case kindConfirm:
+		return decodeAs[message.Confirmation](body)
 	case kindGuardBegin:
 		return decodeAs[message.GuardBegin](body)
 	case kindGuardBegan:
