Act on a seat only if every roster that was read leaves it

Daemons learn at different times that a roster is in force, so the earlier holder now lets go when it reads the roster, and the new one begins when it is in force. The guard takes the rosters of the whole log from replay where none is missing, so a young fleet does not refuse for ten minutes.

The test of the number of holders lent between reading and force; it now checks that nothing is lent then, and lends before.

Mutations tried, with the test that failed then: rosters that were only read are passed over (NeverMoreUnderFaults, OtherNumberOfHolders, AtMostOnceUnderFaults); the number of holders is not compared (NeverMoreUnderFaults, OtherNumberOfHolders); no question to earlier pairs (LostGuards, AtMostOnceUnderFaults).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,8 +50,9 @@
 		"gossip",
 		"relay",
 		"confirm",
+		"lender",
+		"guard",
 	}
-	return []service.Name{"gatekeeper", "gossip", "lender", "relay", "guard"}
 }
 
 // Start implements service.Service.
@@ -61,22 +62,9 @@
 		kernel.Bind(f, "gossip", &d.gossip),
 		kernel.Bind(f, "relay", &d.relay),
 		kernel.Bind(f, "confirm", &d.confirm),
+		kernel.Bind(f, "lender", &d.lender),
+		kernel.Bind(f, "guard", &d.guard),
 	)
-	var err error
-	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
-		return err
-	}
-	if d.lender, err = kernel.Find[*lender.Lender](f, "lender"); err != nil {
-		return err
-	}
-	if d.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
-		return err
-	}
-	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
-		return err
-	}
-	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
-	return err
 }
 
 // Stop implements service.Service.
--- a/internal/guard/answer.go
+++ b/internal/guard/answer.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/roster"
 )
 
 // Began answers a GuardBegin of another daemon.
@@ -41,7 +43,7 @@
 	r, ok := g.seat(now)
 	self, _ := g.standing.Self()
 	to := pair(m.Key, r)
-	if !ok || len(to) < 2 || to[1] != self || r.Version != m.Version || g.floor != m.Version {
+	if !ok || len(to) < 2 || !stays(m.Key, r) || to[1] != self || r.Version != m.Version || g.floor != m.Version {
 		return message.GuardCopied{}
 	}
 	old, kept := g.book.Copy(now, m.Key, m.Note)
@@ -49,6 +51,18 @@
 	return message.GuardCopied{Kept: kept, Found: old.Digest != "", Note: old}
 }
 
+// stays reports whether the rosters that were read, but are not in force, leave
+// the key to the same pair.
+func stays(key mark.Key, r roster.Roster) bool {
+	current := entries(key, r)
+	for _, one := range r.Next {
+		if !slices.Equal(current, entries(key, one)) {
+			return false
+		}
+	}
+	return true
+}
+
 // End notes how an attempt ended and tells the second daemon.
 func (g *Guard) End(ctx context.Context, m message.GuardEnd) message.GuardEnded {
 	g.mu.Lock()
--- a/internal/guard/decide.go
+++ b/internal/guard/decide.go
@@ -121,7 +121,7 @@
 // was not one of the key's pair. It is false when this daemon does not know all
 // rosters of the window.
 func (g *Guard) uncovered(now units.Instant, key mark.Key) ([]roster.Roster, bool) {
-	all, reaches := g.tenure.Within(now.Add(-Window))
+	all, reaches := g.history(now)
 	self, incarnation := g.standing.Self()
 	var rest []roster.Roster
 	for _, r := range all {
@@ -129,7 +129,7 @@
 			rest = append(rest, r)
 		}
 	}
-	return rest, reaches || g.first
+	return rest, reaches
 }
 
 // covers reports whether a run of a daemon had every note of the key under a roster.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,11 +19,12 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/internal/standing"
@@ -48,13 +49,12 @@
 	callTimeout       = time.Second
 	// steadyTime is how long a key's pair waits after it changed. A daemon that is
 	// confirmed sees every roster that lasts as long.
-	steadyTime = 2*confirm.Period + observeGap
+	steadyTime = 2*evidence.Period + observeGap
 )
 
-// Beginning tells whether a roster was the first of the fleet, so that no key can
-// have been used before it. A standing.Standing may implement it.
-type Beginning interface {
-	First(version ids.Offset) bool
+// Viewer shows the shared settings; package tail implements it.
+type Viewer interface {
+	View(read func(*replay.State))
 }
 
 // Guard asks for attempts at this daemon and answers for the keys that it guards.
@@ -63,6 +63,7 @@
 
 	standing standing.Standing
 	peers    peer.Caller
+	viewer   Viewer
 	ctx      context.Context
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -71,7 +72,6 @@
 	mu     sync.Mutex
 	book   mark.Book
 	tenure tenure.Tenure
-	first  bool
 	floor  ids.Offset
 	made   uint64
 }
@@ -80,7 +80,7 @@
 func (g *Guard) Name() service.Name { return "guard" }
 
 // Needs implements service.Service.
-func (g *Guard) Needs() []service.Name { return []service.Name{"timer", "confirm", "dial"} }
+func (g *Guard) Needs() []service.Name { return []service.Name{"timer", "confirm", "dial", "tail"} }
 
 // Start implements service.Service.
 func (g *Guard) Start(ctx context.Context, f service.Finder) error {
@@ -88,6 +88,9 @@
 	if g.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
+	if g.viewer, err = kernel.Find[Viewer](f, "tail"); err != nil {
+		return err
+	}
 	if g.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
 		return err
 	}
@@ -129,16 +132,29 @@
 	if len(r.Entries) == 0 {
 		return r, false
 	}
-	change := g.tenure.Observe(now, r)
-	if begin, ok := g.standing.(Beginning); ok && change != tenure.Same {
-		g.first = (g.first && change == tenure.Next) || begin.First(r.Version)
-	}
+	g.tenure.Observe(now, r)
 	g.floor = max(g.floor, r.Version)
 	self, incarnation := g.standing.Self()
 	e, ok := r.Find(self)
 	return r, ok && e.Incarnation == incarnation
 }
 
+// history returns the rosters that may have been acted on within the window, and
+// whether it is certain that there were no others.
+func (g *Guard) history(now units.Instant) ([]roster.Roster, bool) {
+	all, reaches := g.tenure.Within(now.Add(-Window))
+	if reaches {
+		return all, true
+	}
+	var kept []roster.Roster
+	var since ids.Offset
+	g.viewer.View(func(s *replay.State) { kept, since = s.Rosters() })
+	if since == 0 && len(kept) > 0 {
+		return kept, true
+	}
+	return all, false
+}
+
 // pair returns the guard and the copy of a key.
 func pair(key mark.Key, r roster.Roster) []ids.Daemon {
 	return share.Spread("guard/"+string(key.Account)+"/"+key.Key, r, 2)
--- a/internal/guard/world_test.go
+++ b/internal/guard/world_test.go
@@ -18,6 +18,8 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
@@ -56,9 +58,11 @@
 	kern  *kernel.Kernel
 	guard *guard.Guard
 
-	mu     sync.Mutex
-	away   bool
-	asked  time.Time
+	mu    sync.Mutex
+	away  bool
+	asked time.Time
+	// lag is how much later than in truth a roster is known to be in force.
+	lag    time.Duration
 	roster roster.Roster
 }
 
@@ -77,12 +81,12 @@
 }
 
 func (w *world) start(i int, run ids.Incarnation) *daemon {
-	d := &daemon{world: w, kern: &kernel.Kernel{}, entry: roster.Entry{
+	d := &daemon{world: w, lag: time.Duration(i%3) * time.Second, kern: &kernel.Kernel{}, entry: roster.Entry{
 		Daemon: ids.Daemon(fmt.Sprintf("vm%d", i)), Incarnation: run, Centre: ids.Centre(fmt.Sprintf("dc%d", i%3)),
 	}}
 	c := common.Discard()
 	d.guard = &guard.Guard{Common: c}
-	for _, s := range []service.Service{c.Clock, named{"confirm", d}, named{"dial", d}, d.guard} {
+	for _, s := range []service.Service{c.Clock, named{"tail", d}, named{"confirm", d}, named{"dial", d}, d.guard} {
 		d.kern.Add(s)
 	}
 	must.NoError(w.t, d.kern.Start(context.Background()))
@@ -100,7 +104,26 @@
 func (named) Start(context.Context, service.Finder) error { return nil }
 func (named) Stop(context.Context) error                  { return nil }
 func (d *daemon) Self() (ids.Daemon, ids.Incarnation)     { return d.entry.Daemon, d.entry.Incarnation }
-func (d *daemon) First(v ids.Offset) bool                 { return v == 1 }
+
+// View shows the rosters that were read as of the last confirmation.
+func (d *daemon) View(read func(*replay.State)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var s replay.State
+	var old roster.Roster
+	for _, p := range d.world.past(d.asked) {
+		change := record.Roster{Base: old.Version, Put: p.roster.Entries}
+		for _, e := range old.Entries {
+			if _, ok := p.roster.Find(e.Daemon); !ok {
+				change.Remove = append(change.Remove, e.Daemon)
+			}
+		}
+		s.Apply(p.roster.Version, change)
+		old = p.roster
+	}
+	read(&s)
+}
+
 func (d *daemon) Send(context.Context, ids.Daemon, call.Head, io.Reader) (*call.Answer, error) {
 	return nil, errLost
 }
@@ -112,9 +135,12 @@
 	d.asked = time.Now()
 	d.world.mu.Lock()
 	defer d.world.mu.Unlock()
+	d.roster.Next = nil
 	for _, p := range d.world.rosters {
-		if time.Since(p.at) >= period {
+		if time.Since(p.at) >= period+d.lag {
 			d.roster = p.roster
+		} else {
+			d.roster.Next = append(d.roster.Next, p.roster)
 		}
 	}
 }
@@ -209,3 +235,16 @@
 	}
 	return attempt, outcome
 }
+
+// past returns the rosters that were published until a time.
+func (w *world) past(until time.Time) []published {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []published
+	for _, p := range w.rosters {
+		if !p.at.After(until) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -19,7 +19,7 @@
 	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/holding"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lru"
@@ -49,9 +49,9 @@
 	// act on its roster for one more Period, and its batches end a Lifetime later.
 	// The second Period and observeGap cover a holder that lost its seat and got it
 	// back without seeing the roster in between: nobody has lent under that one.
-	Settle = 2*confirm.Period + observeGap + Lifetime + margin
+	Settle = 2*evidence.Period + observeGap + Lifetime + margin
 
-	rememberedRosters = 4
+	rememberedRosters = 8
 	cachedShares      = 4096
 )
 
@@ -72,7 +72,7 @@
 	tenure  tenure.Tenure
 	applied applied
 	slots   map[ids.Account]*slot
-	shares  lru.Cache[shareKey, share.Share]
+	shares  lru.Cache[shareKey, seat]
 }
 
 // slot is one share in use.
@@ -85,6 +85,14 @@
 	checked units.Instant
 }
 
+// seat is an account's share under the newest roster, and since when this daemon
+// has held it under every roster that it read.
+type seat struct {
+	share share.Share
+	held  bool
+	since units.Instant
+}
+
 // shareKey names a share under the newest roster.
 type shareKey struct {
 	account ids.Account
@@ -108,7 +116,7 @@
 	}
 	l.tenure = tenure.Tenure{Gap: observeGap, Limit: rememberedRosters}
 	l.slots = map[ids.Account]*slot{}
-	l.shares = lru.Cache[shareKey, share.Share]{Limit: cachedShares}
+	l.shares = lru.Cache[shareKey, seat]{Limit: cachedShares}
 	ctx, l.cancel = context.WithCancel(ctx)
 	go l.run(ctx)
 	return nil
@@ -159,11 +167,16 @@
 	l.viewer.View(func(s *replay.State) { at = s.Offset() })
 	l.applied.observe(now, at)
 	r := l.standing.Roster()
+	if len(r.Entries) == 0 {
+		return r, false
+	}
 	switch l.tenure.Observe(now, r) {
 	case tenure.Same:
 	case tenure.Next:
 		l.shares.Clear()
-		l.release(r)
+		for _, one := range r.All() {
+			l.release(one)
+		}
 	case tenure.Broken:
 		l.shares.Clear()
 		clear(l.slots)
@@ -224,11 +237,13 @@
 	if !ok {
 		return nil, false
 	}
-	sh := l.shares.Get(shareKey{account: id, limits: limits}, func() share.Share { return share.Of(id, limits, r) })
-	if !l.holds(r, sh.Holders) {
+	key := shareKey{account: id, limits: limits}
+	own := l.shares.Get(key, func() seat { return l.seatOf(id, limits, r) })
+	if !own.held {
 		delete(l.slots, id)
 		return nil, false
 	}
+	sh := own.share
 	s, ok := l.slots[id]
 	if ok && s.follows(now, version, len(sh.Holders)) {
 		s.version, s.checked = version, now
@@ -237,7 +252,7 @@
 	}
 	start := now
 	if !ok {
-		start = l.since(now, id, limits, version, len(sh.Holders))
+		start = max(own.since, l.applied.since(now, version))
 	}
 	s = &slot{holders: sh.Holders, version: version, checked: now}
 	s.holding.Lifetime = Lifetime + margin
@@ -255,13 +270,14 @@
 	return s.version == version || now.Sub(s.checked) <= observeGap
 }
 
-// since returns from when on this daemon has held this share of the account.
-func (l *Lender) since(now units.Instant, id ids.Account, limits settings.Account, version ids.Offset, count int) units.Instant {
-	seat, _ := l.tenure.Since(func(r roster.Roster) bool {
-		holders := share.Of(id, limits, r).Holders
-		return len(holders) == count && l.holds(r, holders)
+// seatOf finds an account's share and since when this daemon has held it.
+func (l *Lender) seatOf(id ids.Account, limits settings.Account, r roster.Roster) seat {
+	own := seat{share: share.Of(id, limits, r)}
+	own.since, own.held = l.tenure.Since(func(one roster.Roster) bool {
+		holders := share.Of(id, limits, one).Holders
+		return len(holders) == len(own.share.Holders) && l.holds(one, holders)
 	})
-	return max(seat, l.applied.since(now, version))
+	return own
 }
 
 // limits returns an account's settings and the offset that set them.
--- a/internal/limit/seat_test.go
+++ b/internal/limit/seat_test.go
@@ -49,15 +49,16 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, 2, settings.Account{Rate: 10, Burst: 10})
 			time.Sleep(settled)
-			w.publish(0)
-			time.Sleep(period - 10*time.Millisecond)
 			if used {
 				must.EqOp(t, 5*units.Token, w.lend(0, 1, 10).Amount)
 			}
+			w.publish(0)
+			time.Sleep(period - 10*time.Millisecond)
+			must.Zero(t, w.lend(0, 4, 10).Amount)
 			time.Sleep(time.Second)
-			must.Zero(t, w.lend(0, 2, 10).Amount)
+			must.Zero(t, w.lend(0, 5, 10).Amount)
 			time.Sleep(lender.Settle + time.Second)
-			must.EqOp(t, 10*units.Token, w.lend(0, 3, 10).Amount)
+			must.EqOp(t, 10*units.Token, w.lend(0, 6, 10).Amount)
 		})
 	}
 }
--- a/internal/limit/world_test.go
+++ b/internal/limit/world_test.go
@@ -64,9 +64,11 @@
 	lend  *lender.Lender
 	state *replay.State
 
-	mu     sync.Mutex
-	away   bool
-	asked  time.Time
+	mu    sync.Mutex
+	away  bool
+	asked time.Time
+	// lag is how much later than in truth a roster is known to be in force.
+	lag    time.Duration
 	roster roster.Roster
 }
 
@@ -86,7 +88,7 @@
 
 // start runs daemon i. Its key "run" tells its restarts apart.
 func (w *world) start(i int, run ids.Incarnation) *daemon {
-	d := &daemon{world: w, state: &replay.State{}, kern: &kernel.Kernel{}, entry: roster.Entry{
+	d := &daemon{world: w, lag: time.Duration(i%3) * time.Second, state: &replay.State{}, kern: &kernel.Kernel{}, entry: roster.Entry{
 		Daemon: ids.Daemon(fmt.Sprintf("vm%d", i)), Incarnation: run, Centre: ids.Centre(fmt.Sprintf("dc%d", i%3)),
 	}}
 	values := map[string]string{"rate": fmt.Sprint(float64(w.limits.Rate)), "burst": fmt.Sprint(w.limits.Burst)}
@@ -135,9 +137,12 @@
 	d.asked = time.Now()
 	d.world.mu.Lock()
 	defer d.world.mu.Unlock()
+	d.roster.Next = nil
 	for _, p := range d.world.rosters {
-		if time.Since(p.at) >= period {
+		if time.Since(p.at) >= period+d.lag {
 			d.roster = p.roster
+		} else {
+			d.roster.Next = append(d.roster.Next, p.roster)
 		}
 	}
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -29,7 +29,8 @@
 	Broken Change = "broken"
 )
 
-// Tenure is a list of rosters with the instants of their first observation.
+// Tenure is a list of rosters, those in force and those only read, with the
+// instants of their first observation.
 type Tenure struct {
 	// Gap is the longest time without observation in which no other roster can
 	// have given anything out.
@@ -41,30 +42,56 @@
 	last units.Instant
 }
 
+// sighting is a roster with the instant at which it was first seen in force, or
+// only read.
 type sighting struct {
 	roster roster.Roster
+	force  bool
 	at     units.Instant
 }
 
-// Observe takes down the roster in force. It must be called only while the
-// daemon is confirmed.
+// Observe takes down the roster in force and those that were read after it. It
+// must be called only while the daemon is confirmed.
 func (t *Tenure) Observe(now units.Instant, r roster.Roster) Change {
 	defer func() { t.last = now }()
-	if len(t.seen) > 0 && equal(t.seen[len(t.seen)-1].roster, r) {
-		return Same
-	}
-	change := Next
-	if len(t.seen) > 0 && now.Sub(t.last) > t.Gap {
-		t.seen = nil
-		change = Broken
+	change := Same
+	for i, one := range r.All() {
+		if at := t.find(one); at >= 0 {
+			if i == 0 && !t.seen[at].force {
+				t.seen[at].force, t.seen[at].at = true, now
+				change = Next
+			}
+			continue
+		}
+		if len(t.seen) > 0 && now.Sub(t.last) > t.Gap && change != Broken {
+			t.seen = nil
+			change = Broken
+		}
+		if change == Same {
+			change = Next
+		}
+		t.seen = append(t.seen, sighting{roster: one, force: i == 0, at: now})
 	}
-	t.seen = append(t.seen, sighting{roster: r, at: now})
 	if len(t.seen) > t.Limit {
 		t.seen = slices.Clone(t.seen[len(t.seen)-t.Limit:])
 	}
 	return change
 }
 
+// find returns the place of a roster; one without a version is only compared
+// with the newest.
+func (t *Tenure) find(r roster.Roster) int {
+	for i := len(t.seen) - 1; i >= 0; i-- {
+		if equal(t.seen[i].roster, r) {
+			return i
+		}
+		if r.Version == 0 {
+			break
+		}
+	}
+	return -1
+}
+
 // equal compares versions, and the entries of rosters without a version.
 func equal(a, b roster.Roster) bool {
 	if a.Version != b.Version {
@@ -73,24 +100,27 @@
 	return a.Version != 0 || slices.Equal(a.Entries, b.Entries)
 }
 
-// Since returns from when on the condition has held for every roster observed,
-// up to the newest; it is false when the newest does not meet it.
+// Since returns from when on a roster in force has met the condition, if all later
+// ones meet it, also those that were only read. It is false when the newest does
+// not, or when none of them was in force.
 func (t *Tenure) Since(holds func(roster.Roster) bool) (units.Instant, bool) {
 	var since units.Instant
 	found := false
 	for i := len(t.seen) - 1; i >= 0 && holds(t.seen[i].roster); i-- {
-		since, found = t.seen[i].at, true
+		if t.seen[i].force {
+			since, found = t.seen[i].at, true
+		}
 	}
 	return since, found
 }
 
-// Within returns the rosters that were the newest at some time since an instant.
-// It is false when the observations do not reach back to it.
+// Within returns the rosters that may have been acted on since an instant. It is
+// false when the observations do not reach back to it.
 func (t *Tenure) Within(from units.Instant) ([]roster.Roster, bool) {
 	var list []roster.Roster
 	for i := len(t.seen) - 1; i >= 0; i-- {
 		list = append(list, t.seen[i].roster)
-		if !from.Before(t.seen[i].at) {
+		if t.seen[i].force && !from.Before(t.seen[i].at) {
 			return list, true
 		}
 	}
