--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -11,30 +11,6 @@
 // kind names a message on the wire.
 type kind string
 
-const (
-	kindRequest     kind = "request"
-	kindReply       kind = "reply"
-	kindRefusal     kind = "refusal"
-	kindAnnounce    kind = "announce"
-	kindNoted       kind = "noted"
-	kindProbe       kind = "probe"
-	kindProbed      kind = "probed"
-	kindPiece       kind = "piece"
-	kindFetch       kind = "fetch"
-	kindRecords     kind = "records"
-	kindPull        kind = "pull"
-	kindAsk         kind = "ask"
-	kindConfirm     kind = "confirm"
-	kindBorrow      kind = "borrow"
-	kindLent        kind = "lent"
-	kindGuardBegin  kind = "guardbegin"
-	kindGuardBegan  kind = "guardbegan"
-	kindGuardLook   kind = "guardlook"
-	kindGuardLooked kind = "guardlooked"
-	kindGuardCopy   kind = "guardcopy"
-	kindGuardCopied kind = "guardcopied"
-	kindGuardEnd    kind = "guardend"
-	kindGuardEnded  kind = "guardended"
 // form is one message's name and how to decode it.
 type form struct {
 	kind   kind
