--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -83,11 +83,12 @@
 	}
 }
 
-// digest tells requests apart. A body that is too large to be kept counts by its
+// digest tells requests apart. The host is not part of it, because a repeat may
+// reach another daemon by its address. A body that is too large to be kept counts by its
 // length only.
 func digest(head call.Head, replay *replayBody) ids.Hash {
 	sum := sha256.New()
-	fmt.Fprintf(sum, "%s\n%s\n%s\n%d\n", head.Method, head.Host, head.Target, head.Length)
+	fmt.Fprintf(sum, "%s\n%s\n%s\n%d\n", head.Method, head.Route, head.Target, head.Length)
 	sum.Write(replay.kept)
 	return ids.Hash(hex.EncodeToString(sum.Sum(nil)))
 }
