Fill a new holder's share after 1.01 s instead of 5.01 s

Cause: the wait covered a holder that acts on for 2 s, but an earlier holder lets go when it has read the new roster, which it must have once that is in force. Settings still take 5.01 s.

--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -45,11 +45,14 @@
 	// pause in it that leaves the shares valid.
 	observe    = 100 * time.Millisecond
 	observeGap = 500 * time.Millisecond
-	// Settle is how long a new holder's share stays empty. The earlier holder may
-	// act on its roster for one more Period, and its batches end a Lifetime later.
-	// The second Period and observeGap cover a holder that lost its seat and got it
-	// back without seeing the roster in between: nobody has lent under that one.
-	Settle = 2*evidence.Period + observeGap + Lifetime + margin
+	// seatWait is how long a new holder's share stays empty after its roster is in
+	// force: until the batches of the earlier holder have ended, and so long that a
+	// holder that missed the roster does not go on.
+	seatWait = observeGap + Lifetime + margin
+	// Settle is how long a share stays empty after a change of settings that may
+	// have changed the number of holders. Others may act on the earlier settings
+	// for one more Period, and may miss a change within another.
+	Settle = 2*evidence.Period + seatWait
 
 	rememberedRosters = 8
 	cachedShares      = 4096
@@ -250,13 +253,13 @@
 		s.holding.Resize(now, sh.Rate, sh.Burst)
 		return s, true
 	}
-	start := now
+	start := now.Add(Settle)
 	if !ok {
-		start = max(own.since, l.applied.since(now, version))
+		start = max(own.since.Add(seatWait), l.applied.since(now, version).Add(Settle))
 	}
 	s = &slot{holders: sh.Holders, version: version, checked: now}
 	s.holding.Lifetime = Lifetime + margin
-	s.holding.Begin(start.Add(Settle), 0, sh.Rate, sh.Burst)
+	s.holding.Begin(start, 0, sh.Rate, sh.Burst)
 	l.slots[id] = s
 	return s, true
 }
