--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -32,6 +32,8 @@
 	formOf[message.Noted]("noted"),
 	formOf[message.Probe]("probe"),
 	formOf[message.Probed]("probed"),
+	formOf[message.Count]("count"),
+	formOf[message.Counted]("counted"),
 	formOf[message.Pull]("pull"),
 	formOf[message.Records]("records"),
 	formOf[message.Fetch]("fetch"),
@@ -48,6 +50,12 @@
 	formOf[message.GuardCopied]("guardcopied"),
 	formOf[message.GuardEnd]("guardend"),
 	formOf[message.GuardEnded]("guardended"),
+	formOf[message.Permit]("permit"),
+	formOf[message.Permitted]("permitted"),
+	formOf[message.Release]("release"),
+	formOf[message.Released]("released"),
+	formOf[message.Compare]("compare"),
+	formOf[message.Summary]("summary"),
 }
 
 var (
