--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -45,13 +45,16 @@
 	// pause in it that leaves the shares valid.
 	observe    = 100 * time.Millisecond
 	observeGap = 500 * time.Millisecond
-	// Settle is how long a new holder's share stays empty. The earlier holder may
-	// act on its roster for one more Period, and its batches end a Lifetime later.
-	// The second Period and observeGap cover a holder that lost its seat and got it
-	// back without seeing the roster in between: nobody has lent under that one.
-	Settle = 2*evidence.Period + observeGap + Lifetime + margin
+	// seatWait is how long a new holder's share stays empty after its roster is in
+	// force: until the batches of the earlier holder have ended, and so long that a
+	// holder that missed the roster does not go on.
+	seatWait = observeGap + Lifetime + margin
+	// Settle is how long a share stays empty after a change of settings that may
+	// have changed the number of holders. Others may act on the earlier settings
+	// for one more Period, and may miss a change within another.
+	Settle = 2*evidence.Period + seatWait
 
-	rememberedRosters = 4
+	rememberedRosters = 8
 	cachedShares      = 4096
 )
 
@@ -72,7 +75,7 @@
 	tenure  tenure.Tenure
 	applied applied
 	slots   map[ids.Account]*slot
-	shares  lru.Cache[shareKey, share.Share]
+	shares  lru.Cache[shareKey, seat]
 }
 
 // slot is one share in use.
@@ -85,6 +88,14 @@
 	checked units.Instant
 }
 
+// seat is an account's share under the newest roster, and since when this daemon
+// has held it under every roster that it read.
+type seat struct {
+	share share.Share
+	held  bool
+	since units.Instant
+}
+
 // shareKey names a share under the newest roster.
 type shareKey struct {
 	account ids.Account
@@ -108,7 +119,7 @@
 	}
 	l.tenure = tenure.Tenure{Gap: observeGap, Limit: rememberedRosters}
 	l.slots = map[ids.Account]*slot{}
-	l.shares = lru.Cache[shareKey, share.Share]{Limit: cachedShares}
+	l.shares = lru.Cache[shareKey, seat]{Limit: cachedShares}
 	ctx, l.cancel = context.WithCancel(ctx)
 	go l.run(ctx)
 	return nil
@@ -159,11 +170,16 @@
 	l.viewer.View(func(s *replay.State) { at = s.Offset() })
 	l.applied.observe(now, at)
 	r := l.standing.Roster()
+	if len(r.Entries) == 0 {
+		return r, false
+	}
 	switch l.tenure.Observe(now, r) {
 	case tenure.Same:
 	case tenure.Next:
 		l.shares.Clear()
-		l.release(r)
+		for _, one := range r.All() {
+			l.release(one)
+		}
 	case tenure.Broken:
 		l.shares.Clear()
 		clear(l.slots)
@@ -224,24 +240,26 @@
 	if !ok {
 		return nil, false
 	}
-	sh := l.shares.Get(shareKey{account: id, limits: limits}, func() share.Share { return share.Of(id, limits, r) })
-	if !l.holds(r, sh.Holders) {
+	key := shareKey{account: id, limits: limits}
+	own := l.shares.Get(key, func() seat { return l.seatOf(id, limits, r) })
+	if !own.held {
 		delete(l.slots, id)
 		return nil, false
 	}
+	sh := own.share
 	s, ok := l.slots[id]
 	if ok && s.follows(now, version, len(sh.Holders)) {
 		s.version, s.checked = version, now
 		s.holding.Resize(now, sh.Rate, sh.Burst)
 		return s, true
 	}
-	start := now
+	start := now.Add(Settle)
 	if !ok {
-		start = l.since(now, id, limits, version, len(sh.Holders))
+		start = max(own.since.Add(seatWait), l.applied.since(now, version).Add(Settle))
 	}
 	s = &slot{holders: sh.Holders, version: version, checked: now}
 	s.holding.Lifetime = Lifetime + margin
-	s.holding.Begin(start.Add(Settle), 0, sh.Rate, sh.Burst)
+	s.holding.Begin(start, 0, sh.Rate, sh.Burst)
 	l.slots[id] = s
 	return s, true
 }
@@ -255,13 +273,14 @@
 	return s.version == version || now.Sub(s.checked) <= observeGap
 }
 
-// since returns from when on this daemon has held this share of the account.
-func (l *Lender) since(now units.Instant, id ids.Account, limits settings.Account, version ids.Offset, count int) units.Instant {
-	seat, _ := l.tenure.Since(func(r roster.Roster) bool {
-		holders := share.Of(id, limits, r).Holders
-		return len(holders) == count && l.holds(r, holders)
+// seatOf finds an account's share and since when this daemon has held it.
+func (l *Lender) seatOf(id ids.Account, limits settings.Account, r roster.Roster) seat {
+	own := seat{share: share.Of(id, limits, r)}
+	own.since, own.held = l.tenure.Since(func(one roster.Roster) bool {
+		holders := share.Of(id, limits, one).Holders
+		return len(holders) == len(own.share.Holders) && l.holds(one, holders)
 	})
-	return max(seat, l.applied.since(now, version))
+	return own
 }
 
 // limits returns an account's settings and the offset that set them.
--- a/internal/limit/seat_test.go
+++ b/internal/limit/seat_test.go
@@ -20,13 +20,21 @@
 	return w.daemons[i].lend.Lend("tester", message.Borrow{Account: school, Question: q})
 }
 
+// leave cuts daemon i off from the log.
+func (w *world) leave(i int) {
+	d := w.daemons[i]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = true
+}
+
 // A holder without a confirmation lends nothing.
 func TestUnconfirmedHolderLendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, settings.Account{Rate: 10, Burst: 10})
 		time.Sleep(settled)
 		must.EqOp(t, units.Token, w.lend(0, 1, 1).Amount)
-		w.daemons[0].away = true
+		w.leave(0)
 		time.Sleep(period)
 		must.False(t, w.lend(0, 2, 1).Holds)
 	})
@@ -49,15 +57,16 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, 2, settings.Account{Rate: 10, Burst: 10})
 			time.Sleep(settled)
-			w.publish(0)
-			time.Sleep(period - 10*time.Millisecond)
 			if used {
 				must.EqOp(t, 5*units.Token, w.lend(0, 1, 10).Amount)
 			}
+			w.publish(0)
+			time.Sleep(period - 10*time.Millisecond)
+			must.Zero(t, w.lend(0, 4, 10).Amount)
 			time.Sleep(time.Second)
-			must.Zero(t, w.lend(0, 2, 10).Amount)
+			must.Zero(t, w.lend(0, 5, 10).Amount)
 			time.Sleep(lender.Settle + time.Second)
-			must.EqOp(t, 10*units.Token, w.lend(0, 3, 10).Amount)
+			must.EqOp(t, 10*units.Token, w.lend(0, 6, 10).Amount)
 		})
 	}
 }
