Mark ejected targets in a list of their own

Cause: the race detector found the list of targets changed in place while gossip was encoding it (go test -race ./internal/fleet -run EjectAndReadmit). TestMarkCopies fails when the copy is dropped.

Left red: the same command still finds a race in internal/accept: streams.Add in serve against streams.Wait in Stop. This branch doesn't change that package.

--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,11 +109,13 @@
 	delete(e.targets, id)
 }
 
-// Mark sets in the daemon's own description which targets are out of use.
+// Mark sets in the daemon's own description which targets are out of use. It leaves
+// the list as it was to those who have it already.
 func (e *Ejector) Mark(m *member.Member) {
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	m.Targets = slices.Clone(m.Targets)
 	for i := range m.Targets {
 		p, ok := e.targets[m.Targets[i].ID]
 		m.Targets[i].Ejected = ok && p.stage(now) == probation.Out
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -33,6 +33,19 @@
 	})
 }
 
+// A list of targets that others already have doesn't change under them.
+func TestMarkCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 5)
+		_, sick := w.steward()
+		w.traffic(warmup)
+		before := sick.gossip.Own()
+		w.traffic(found, sick)
+		must.True(t, sick.gossip.Own().Targets[0].Ejected)
+		must.False(t, before.Targets[0].Ejected)
+	})
+}
+
 // A gatekeeper that can't renew its permit puts its target back at once.
 func TestLeaseLapses(t *testing.T) {
 	cases := []struct {
