--- /dev/null
+++ b/internal/seating/absent.go
@@ -0,0 +1,87 @@
+package seating
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// absentDelay is how long a member may be lost before it leaves the roster.
+	absentDelay = time.Minute
+	// maxJoins bounds the members that one record adds, because each is asked first.
+	maxJoins      = 100
+	answerTimeout = 800 * time.Millisecond
+)
+
+// watch holds since when members are lost. The zero value holds none.
+type watch struct {
+	since map[ids.Daemon]units.Instant
+}
+
+// note takes over which members are lost now.
+func (w *watch) note(lost []member.Member, now units.Instant) {
+	since := map[ids.Daemon]units.Instant{}
+	for _, m := range lost {
+		since[m.Daemon] = now
+		if known, ok := w.since[m.Daemon]; ok {
+			since[m.Daemon] = known
+		}
+	}
+	w.since = since
+}
+
+// absent reports whether a member has been lost for too long.
+func (w *watch) absent(id ids.Daemon, now units.Instant) bool {
+	since, known := w.since[id]
+	return known && now.Sub(since) >= absentDelay
+}
+
+// answering asks some daemons at once and returns those that answer.
+func (s *Seating) answering(ctx context.Context, whom []ids.Daemon) map[ids.Daemon]bool {
+	ctx, cancel := s.Common.Clock.Within(ctx, answerTimeout)
+	defer cancel()
+	self, _ := s.confirm.Self()
+	answered := map[ids.Daemon]bool{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, to := range whom {
+		wg.Go(func() {
+			ok := to == self
+			if !ok {
+				_, err := s.peers.Call(ctx, to, message.Question{})
+				ok = err == nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered[to] = ok
+		})
+	}
+	wg.Wait()
+	return answered
+}
+
+// joining returns the live members without those that would join the roster but
+// do not answer now.
+func (s *Seating) joining(ctx context.Context, r roster.Roster, live []member.Member) []member.Member {
+	var joins []ids.Daemon
+	for _, m := range live {
+		if _, ok := r.Seat(m.Daemon, m.Incarnation); !ok && len(joins) < maxJoins {
+			joins = append(joins, m.Daemon)
+		}
+	}
+	answered := s.answering(ctx, joins)
+	var kept []member.Member
+	for _, m := range live {
+		if _, ok := r.Seat(m.Daemon, m.Incarnation); ok || answered[m.Daemon] {
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
