--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -27,7 +27,7 @@
 
 	mu        sync.RWMutex
 	members   map[ids.Daemon]known
-	buried    map[ids.Daemon]grave
+	forgotten map[ids.Daemon]tombstone
 	byService map[ids.Service]list
 }
 
@@ -85,10 +85,10 @@
 	if ok && !old.Precedes(m) {
 		return false
 	}
-	if g, ok := d.buried[m.Daemon]; ok && !g.age.Precedes(m.Age()) {
+	if g, ok := d.forgotten[m.Daemon]; ok && !g.age.Precedes(m.Age()) {
 		return false
 	}
-	delete(d.buried, m.Daemon)
+	delete(d.forgotten, m.Daemon)
 	if d.members == nil {
 		d.members = map[ids.Daemon]known{}
 		d.byService = map[ids.Service]list{}
--- a/internal/directory/bury.go
+++ b/internal/directory/tombstone.go
@@ -13,34 +13,34 @@
 	goneKept = 10 * time.Minute
 	// lostKept is longer than regions lose each other.
 	lostKept = 2 * time.Hour
-	// buriedKept is how long old descriptions of a forgotten daemon are refused.
-	buriedKept = time.Hour
+	// forgottenKept is how long old descriptions of a forgotten daemon are refused.
+	forgottenKept = time.Hour
 )
 
-// grave keeps the age of a forgotten daemon, so that other daemons' old
+// tombstone keeps the age of a forgotten daemon, so that other daemons' old
 // descriptions do not bring it back.
-type grave struct {
+type tombstone struct {
 	age member.Age
 	at  units.Instant
 }
 
-// Bury forgets the daemons that have been gone or lost for long.
-func (d *Directory) Bury(now units.Instant) {
+// ForgetOld forgets the daemons that have been gone or lost for long.
+func (d *Directory) ForgetOld(now units.Instant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id, g := range d.buried {
-		if now.Sub(g.at) > buriedKept {
-			delete(d.buried, id)
+	for id, g := range d.forgotten {
+		if now.Sub(g.at) > forgottenKept {
+			delete(d.forgotten, id)
 		}
 	}
 	for id, k := range d.members {
 		if !over(k, now) {
 			continue
 		}
-		if d.buried == nil {
-			d.buried = map[ids.Daemon]grave{}
+		if d.forgotten == nil {
+			d.forgotten = map[ids.Daemon]tombstone{}
 		}
-		d.buried[id] = grave{age: k.Age(), at: now}
+		d.forgotten[id] = tombstone{age: k.Age(), at: now}
 		d.unindex(k)
 		delete(d.members, id)
 	}
@@ -53,10 +53,10 @@
 	return k.lost && now.Sub(k.lostSince) > lostKept
 }
 
-// Buried reports whether the description is one that was forgotten.
-func (d *Directory) Buried(a member.Age) bool {
+// Forgotten reports whether the description is one that was forgotten.
+func (d *Directory) Forgotten(a member.Age) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	g, ok := d.buried[a.Daemon]
+	g, ok := d.forgotten[a.Daemon]
 	return ok && !g.age.Precedes(a)
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -8,8 +8,8 @@
 //
 // A daemon keeps one task for each peer on the ring (package ring). The task
 // sends news at once and a probe in each period. A peer that does not answer is
-// tried through others; when they fail too, the doubt is told to all, and the
-// daemon in doubt renews its description if it is alive.
+// tried through others; when they fail too, the suspicion is told to all, and the
+// daemon under suspicion renews its description if it is alive.
 package gossip
 
 import (
@@ -22,10 +22,10 @@
 	"balsamwharf.example/balsamwharf/internal/changes"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
-	"balsamwharf.example/balsamwharf/internal/doubt"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/peer"
+	"balsamwharf.example/balsamwharf/internal/suspicion"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -51,20 +51,20 @@
 	directory *directory.Directory
 	peers     peer.Caller
 
-	mu     sync.Mutex
-	own    member.Member
-	news   changes.Changes[ids.Daemon]
-	tasks  map[ids.Daemon]*task
-	doubts map[ids.Daemon]*doubted
-	rng    *rand.Rand
+	mu       sync.Mutex
+	own      member.Member
+	news     changes.Changes[ids.Daemon]
+	tasks    map[ids.Daemon]*task
+	suspects map[ids.Daemon]*suspect
+	rng      *rand.Rand
 	// joined wakes the arrangement of tasks when a member is new.
 	joined chan struct{}
 }
 
-// doubted is a daemon in doubt, as of one of its descriptions.
-type doubted struct {
+// suspect is a daemon under suspicion, as of one of its descriptions.
+type suspect struct {
 	age member.Age
-	doubt.Doubt
+	suspicion.Suspicion
 }
 
 // Name implements service.Service.
@@ -83,7 +83,7 @@
 		return err
 	}
 	g.tasks = map[ids.Daemon]*task{}
-	g.doubts = map[ids.Daemon]*doubted{}
+	g.suspects = map[ids.Daemon]*suspect{}
 	g.joined = make(chan struct{}, 1)
 	set := g.Common.Settings
 	started := uint64(g.Common.Clock.Wall().UnixNano())
@@ -119,7 +119,7 @@
 	g.Update(func(m *member.Member) { m.Leaving, m.Gone = true, true })
 	var wg sync.WaitGroup
 	for _, t := range g.allTasks() {
-		wg.Go(func() { t.farewell(ctx) })
+		wg.Go(func() { t.leave(ctx) })
 	}
 	wg.Wait()
 	return nil
@@ -157,15 +157,15 @@
 	return g.own
 }
 
-// run keeps a task for each peer on the ring and follows doubts to their end.
+// run keeps a task for each peer on the ring and follows suspicions to their end.
 func (g *Gossip) run(ctx context.Context) {
 	sub := g.Common.Clock.Every(nearPeriod)
 	defer sub.Stop()
 	for {
 		g.arrange(ctx)
 		g.settle()
-		g.directory.Bury(g.Common.Clock.Now())
-		g.seekLost(ctx)
+		g.directory.ForgetOld(g.Common.Clock.Now())
+		g.probeLost(ctx)
 		select {
 		case <-sub.C:
 		case <-g.joined:
--- a/internal/gossip/hear.go
+++ b/internal/gossip/hear.go
@@ -23,8 +23,8 @@
 		if m, ok := g.directory.Member(id); ok {
 			a.Members = append(a.Members, m)
 		}
-		if d, ok := g.doubts[id]; ok && d.Raised() {
-			a.Doubts = append(a.Doubts, d.age)
+		if d, ok := g.suspects[id]; ok && d.Raised() {
+			a.Suspects = append(a.Suspects, d.age)
 		}
 	}
 	return a, next
@@ -32,8 +32,8 @@
 
 // Hear takes another daemon's news and answers with what it asked for.
 func (g *Gossip) Hear(a message.Announce) message.Noted {
-	g.learn(a.Members, a.Doubts)
-	reply := message.Noted{Doubts: g.outdated(a.Members)}
+	g.learn(a.Members, a.Suspects)
+	reply := message.Noted{Suspects: g.outdated(a.Members)}
 	for _, id := range a.Ask {
 		if m, ok := g.directory.Member(id); ok && m.Incarnation != 0 {
 			reply.Members = append(reply.Members, m)
@@ -52,25 +52,25 @@
 }
 
 // take stores what a peer answered.
-func (g *Gossip) take(n message.Noted) { g.learn(n.Members, n.Doubts) }
+func (g *Gossip) take(n message.Noted) { g.learn(n.Members, n.Suspects) }
 
 // learn stores news and passes on what is new.
-func (g *Gossip) learn(members []member.Member, doubts []member.Age) {
+func (g *Gossip) learn(members []member.Member, suspects []member.Age) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range members {
 		if m.Daemon == g.self() {
-			g.outlive(m.Age())
+			g.supersede(m.Age())
 			continue
 		}
 		if m.Incarnation != 0 && g.directory.Put(m) {
-			delete(g.doubts, m.Daemon)
+			delete(g.suspects, m.Daemon)
 			g.tell(m.Daemon)
 			g.rearrange()
 		}
 	}
-	for _, a := range doubts {
-		g.hearDoubt(a)
+	for _, a := range suspects {
+		g.hearSuspicion(a)
 	}
 }
 
@@ -82,10 +82,10 @@
 	}
 }
 
-// outlive renews the own description when others hold one that is as new and not
+// supersede renews the own description when others hold one that is as new and not
 // the same process's, as after a restart with a clock that went back. The lock is
 // held.
-func (g *Gossip) outlive(a member.Age) {
+func (g *Gossip) supersede(a member.Age) {
 	if !g.own.Age().Precedes(a) {
 		return
 	}
@@ -94,13 +94,13 @@
 	g.publish()
 }
 
-// outdated returns doubts about members that the other side believes in and this
-// one has forgotten. A sender that is in doubt is not told here: a daemon that can
-// send but can't be reached must not be able to end the doubt.
+// outdated returns suspicions about members that the other side believes in and this
+// one has forgotten. A sender that is under suspicion is not told here: a daemon that can
+// send but can't be reached must not be able to end the suspicion.
 func (g *Gossip) outdated(members []member.Member) []member.Age {
 	var list []member.Age
 	for _, m := range members {
-		if g.directory.Buried(m.Age()) {
+		if g.directory.Forgotten(m.Age()) {
 			list = append(list, m.Age())
 		}
 	}
@@ -122,7 +122,7 @@
 	}
 	for id, age := range theirs {
 		own, _ := g.directory.Member(id)
-		if own.Age().Precedes(age) && !g.directory.Buried(age) && len(a.Ask) < maxNews {
+		if own.Age().Precedes(age) && !g.directory.Forgotten(age) && len(a.Ask) < maxNews {
 			a.Ask = append(a.Ask, id)
 		}
 	}
--- a/internal/gossip/suspect.go
+++ b/internal/gossip/suspect.go
@@ -17,7 +17,7 @@
 const helpers = 3
 
 // missed is called when a peer did not answer: the way to it may be cut in one
-// direction only, so others try before there is a doubt.
+// direction only, so others try before there is a suspicion.
 func (g *Gossip) missed(ctx context.Context, id ids.Daemon) {
 	if ctx.Err() != nil || g.reachedByOthers(ctx, id) {
 		return
@@ -76,8 +76,8 @@
 	return message.Probed{Reached: err == nil}
 }
 
-// hearDoubt takes a doubt that another daemon told. The lock is held.
-func (g *Gossip) hearDoubt(a member.Age) {
+// hearSuspicion takes a suspicion that another daemon told. The lock is held.
+func (g *Gossip) hearSuspicion(a member.Age) {
 	if a.Daemon == g.self() {
 		g.refute(a)
 		return
@@ -85,7 +85,7 @@
 	g.raise(a)
 }
 
-// refute renews the own description, which ends the doubt everywhere. The lock is
+// refute renews the own description, which ends the suspicion everywhere. The lock is
 // held.
 func (g *Gossip) refute(a member.Age) {
 	if a.Precedes(g.own.Age()) {
@@ -96,31 +96,31 @@
 	g.publish()
 }
 
-// raise begins a doubt unless a newer description is known. The lock is held.
+// raise begins a suspicion unless a newer description is known. The lock is held.
 func (g *Gossip) raise(a member.Age) {
 	m, ok := g.directory.Member(a.Daemon)
 	if !ok || a.Precedes(m.Age()) || m.Gone {
 		return
 	}
-	d, ok := g.doubts[a.Daemon]
+	d, ok := g.suspects[a.Daemon]
 	if ok && d.Raised() && !d.age.Precedes(a) {
 		return
 	}
-	d = &doubted{age: a}
+	d = &suspect{age: a}
 	d.Missed(g.Common.Clock.Now())
-	g.doubts[a.Daemon] = d
+	g.suspects[a.Daemon] = d
 	g.tell(a.Daemon)
 }
 
-// settle marks the daemons as lost that did not end the doubt in time.
+// settle marks the daemons as lost that did not end the suspicion in time.
 func (g *Gossip) settle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Common.Clock.Now()
-	for id, d := range g.doubts {
+	for id, d := range g.suspects {
 		m, ok := g.directory.Member(id)
 		if !ok || d.age.Precedes(m.Age()) {
-			delete(g.doubts, id)
+			delete(g.suspects, id)
 			continue
 		}
 		if d.Lost(now) && g.directory.SetLost(id) {
@@ -129,9 +129,9 @@
 	}
 }
 
-// seekLost tells one lost daemon about the doubt, so that it shows itself when the
+// probeLost tells one lost daemon about the suspicion, so that it shows itself when the
 // network is whole again. A daemon that reaches nobody turns to its seeds.
-func (g *Gossip) seekLost(ctx context.Context) {
+func (g *Gossip) probeLost(ctx context.Context) {
 	missing := g.directory.Missing()
 	if len(missing) == 0 {
 		return
@@ -141,7 +141,7 @@
 		ctx, cancel := g.Common.Clock.Within(ctx, callTimeout)
 		defer cancel()
 		own := g.Own()
-		a := message.Announce{Members: []member.Member{own}, Doubts: []member.Age{m.Age()}}
+		a := message.Announce{Members: []member.Member{own}, Suspects: []member.Age{m.Age()}}
 		reply, err := g.peers.Call(ctx, m.Daemon, a)
 		if noted, ok := reply.(message.Noted); err == nil && ok {
 			g.take(noted)
--- a/internal/gossip/task.go
+++ b/internal/gossip/task.go
@@ -152,7 +152,7 @@
 	return noted, nil
 }
 
-// farewell tells the peer that this daemon is gone.
-func (t *task) farewell(ctx context.Context) {
+// leave tells the peer that this daemon is gone.
+func (t *task) leave(ctx context.Context) {
 	_, _ = t.call(ctx, message.Announce{Members: []member.Member{t.gossip.Own()}})
 }
