Restart a daemon in the demo, and hold idempotent requests to true refusals

A refusal as unrun must be true for every attempt of a request, so the ledger no longer excepts idempotent ones. balsam accounts names the holders.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -40,6 +40,7 @@
 	surgeEnd   = 0.85
 	outageAt   = 0.25
 	outageEnd  = 0.75
+	restartAt  = 0.3
 )
 
 // progressPeriod is the time between two progress lines.
@@ -106,9 +107,7 @@
 		return err
 	}
 	d.load = &workload.Workload{Ledger: &d.ledger, Seed: d.options.Seed}
-	for _, daemon := range d.fleet.Daemons {
-		d.load.Bases = append(d.load.Bases, daemon.Callers)
-	}
+	d.load.SetBases(d.bases(nil))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.load.Begin()
@@ -132,6 +131,9 @@
 	if d.options.StoreOutage {
 		go d.outage(ctx)
 	}
+	if d.options.Restart {
+		go d.restart(ctx)
+	}
 	failing := d.scene.failing(d.fleet)
 	if err := d.wait(ctx, d.at(faultAt)); err != nil {
 		return nil
@@ -183,6 +185,34 @@
 	}
 }
 
+// restart stops the last daemon and starts it again; callers turn to the others
+// meanwhile.
+func (d *Demo) restart(ctx context.Context) {
+	if err := d.wait(ctx, d.at(restartAt)); err != nil {
+		return
+	}
+	daemon := d.fleet.Daemons[len(d.fleet.Daemons)-1]
+	d.load.SetBases(d.bases(daemon))
+	d.say("daemon %s stops", daemon.ID)
+	if err := d.fleet.Restart(daemon); err != nil {
+		d.say("daemon %s did not start again: %v", daemon.ID, err)
+		return
+	}
+	d.say("daemon %s runs again", daemon.ID)
+	d.load.SetBases(d.bases(nil))
+}
+
+// bases returns the URLs of all daemons but one.
+func (d *Demo) bases(but *fleet.Daemon) []string {
+	var list []string
+	for _, daemon := range d.fleet.Daemons {
+		if daemon != but {
+			list = append(list, daemon.Callers)
+		}
+	}
+	return list
+}
+
 // wait returns when the run has lasted for the given time.
 func (d *Demo) wait(ctx context.Context, until time.Duration) error {
 	select {
--- a/internal/demo/options.go
+++ b/internal/demo/options.go
@@ -20,5 +20,6 @@
 	Length      time.Duration `long:"length" default:"30s" description:"How long callers send requests"`
 	Fault       string        `long:"fault" default:"errs" choice:"errs" choice:"slow" choice:"hangs" choice:"cuts" choice:"flaps" choice:"refuses" choice:"none" description:"What the failing backend server does"`
 	StoreOutage bool          `long:"store-outage" description:"Take the log service away for the middle half of the run"`
+	Restart     bool          `long:"restart" description:"Restart a daemon in the middle of the run"`
 	Verbose     bool          `long:"verbose" description:"Log the daemons' events"`
 }
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -51,6 +51,18 @@
 	return err
 }
 
+// Restart stops a daemon gracefully and starts it again at the same addresses, as
+// a new incarnation. Callers must turn to other daemons meanwhile.
+func (f *Fleet) Restart(d *Daemon) error {
+	if err := d.Stop(); err != nil {
+		return err
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	return f.run(d)
+}
+
 // ready waits until every daemon knows every target and a roster of all daemons
 // is in force.
 func (f *Fleet) ready() error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -139,30 +139,40 @@
 	return nil
 }
 
+// listen opens the daemon's sockets, at the addresses it had before if any.
 func (d *Daemon) listen() error {
+	l := &d.set.Listen
 	var err error
-	if d.sockets.Callers, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Callers, err = net.Listen("tcp", address(l.Callers)); err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
-	if d.sockets.Announce, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Announce, err = net.Listen("tcp", address(l.Announce)); err != nil {
 		return errorx.Decorate(err, "listen for backend servers")
 	}
-	if d.sockets.Operators, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Operators, err = net.Listen("tcp", address(l.Operators)); err != nil {
 		return errorx.Decorate(err, "listen for operators")
 	}
-	if d.sockets.Peers, err = net.ListenPacket("udp", loopback); err != nil {
+	if d.sockets.Peers, err = net.ListenPacket("udp", address(l.Peers)); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
-	d.set.Listen.Callers = ids.Address(d.sockets.Callers.Addr().String())
-	d.set.Listen.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
-	d.set.Listen.Announce = ids.Address(d.sockets.Announce.Addr().String())
-	d.set.Listen.Operators = ids.Address(d.sockets.Operators.Addr().String())
-	d.Callers = "http://" + string(d.set.Listen.Callers)
-	d.Operators = "http://" + string(d.set.Listen.Operators)
-	d.announce = "http://" + string(d.set.Listen.Announce)
+	l.Callers = ids.Address(d.sockets.Callers.Addr().String())
+	l.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
+	l.Announce = ids.Address(d.sockets.Announce.Addr().String())
+	l.Operators = ids.Address(d.sockets.Operators.Addr().String())
+	d.Callers = "http://" + string(l.Callers)
+	d.Operators = "http://" + string(l.Operators)
+	d.announce = "http://" + string(l.Announce)
 	return nil
 }
 
+// address returns the address, or any free port for an empty one.
+func address(a ids.Address) string {
+	if a == "" {
+		return loopback
+	}
+	return string(a)
+}
+
 // start starts the daemons with the first few as seeds, and announces the targets.
 func (f *Fleet) start() error {
 	const seeds = 3
--- a/internal/ledger/breach.go
+++ b/internal/ledger/breach.go
@@ -73,7 +73,7 @@
 		if !line.Idempotent && n > 1 {
 			found = append(found, Twice{Request: line.Request, Runs: n})
 		}
-		if line.Verdict == verdict.Unrun && n > 0 && !line.Idempotent {
+		if line.Verdict == verdict.Unrun && n > 0 {
 			found = append(found, RanUnrun{Request: line.Request})
 		}
 		if line.Wrong {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -37,6 +37,7 @@
 		{name: "ran twice", lines: []ledger.Line{{Request: "r", Status: 200, Verdict: verdict.Ran}}, runs: map[string]int{"r": 2}, want: 1},
 		{name: "idempotent may run twice", lines: []ledger.Line{{Request: "r", Status: 200, Verdict: verdict.Ran, Idempotent: true}}, runs: map[string]int{"r": 2}},
 		{name: "ran though unrun", lines: []ledger.Line{{Request: "r", Status: 503, Verdict: verdict.Unrun}}, runs: map[string]int{"r": 1}, want: 1},
+		{name: "an idempotent one ran though unrun", lines: []ledger.Line{{Request: "r", Status: 503, Verdict: verdict.Unrun, Idempotent: true}}, runs: map[string]int{"r": 1}, want: 1},
 		{name: "crossed answer", lines: []ledger.Line{{Request: "r", Status: 200, Verdict: verdict.Ran, Wrong: true}}, want: 1},
 	}
 	for _, c := range cases {
--- a/internal/operators/status.go
+++ b/internal/operators/status.go
@@ -9,6 +9,7 @@
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/pkg/api"
 )
 
@@ -81,6 +82,7 @@
 
 func (o *Operators) accounts(_ *http.Request, s scope) (any, error) {
 	list := []api.Account{}
+	limits := map[string]settings.Account{}
 	o.tail.View(func(state *replay.State) {
 		keys := map[ids.Account]int{}
 		for _, path := range state.Paths() {
@@ -91,7 +93,9 @@
 				keys[ids.AccountOf(team, v.Account)]++
 			case settings.Account:
 				if s.covers(path) {
-					list = append(list, accountOf(ids.AccountOf(team, settings.NameOf(path)), v))
+					id := ids.AccountOf(team, settings.NameOf(path))
+					limits[string(id)] = v
+					list = append(list, accountOf(id, v))
 				}
 			}
 		}
@@ -99,9 +103,28 @@
 			list[i].Keys = keys[ids.Account(list[i].Account)]
 		}
 	})
+	o.addHolders(list, limits)
 	return list, nil
 }
 
+// maxHolders bounds for how many accounts the holders are worked out, which takes
+// time that grows with the fleet.
+const maxHolders = 200
+
+// addHolders names the daemons that hold the tokens of each account.
+func (o *Operators) addHolders(list []api.Account, limits map[string]settings.Account) {
+	if len(list) > maxHolders {
+		return
+	}
+	r := o.standing.Roster()
+	for i := range list {
+		id := list[i].Account
+		for _, d := range share.Of(ids.Account(id), limits[id], r).Holders {
+			list[i].Holders = append(list[i].Holders, string(d))
+		}
+	}
+}
+
 func accountOf(id ids.Account, a settings.Account) api.Account {
 	return api.Account{Account: string(id), Rate: float64(a.Rate), Burst: a.Burst, Weight: int(a.Weight)}
 }
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -33,6 +33,7 @@
 	Ledger *ledger.Ledger
 	Seed   uint64
 
+	mu     sync.RWMutex
 	start  time.Time
 	client http.Client
 	next   atomic.Int64
@@ -87,11 +88,24 @@
 			return
 		}
 		post := rng.Float64() < s.Posts
-		base := w.Bases[rng.IntN(len(w.Bases))]
+		base := w.base(rng)
 		wg.Go(func() { w.request(s, base, post) })
 	}
 }
 
+// SetBases changes the daemons that requests are sent to from now on.
+func (w *Workload) SetBases(bases []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Bases = bases
+}
+
+func (w *Workload) base(rng *rand.Rand) string {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.Bases[rng.IntN(len(w.Bases))]
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -106,7 +106,8 @@
 	Burst   int     `json:"burst"`
 	Weight  int     `json:"weight"`
 	Keys    int     `json:"keys"`
-	// Holders are the daemons that hold the account's tokens.
+	// Holders are the daemons that hold the account's tokens; it is left out in
+	// lists of more than 200 accounts.
 	Holders []string `json:"holders"`
 }
 
