Let late messages arrive before the guard tests end

TestAtMostOnceUnderFaults panicked with blocked goroutines. The fake network delivers some messages 3 s after their sender gave them up. When the test returned within these 3 s, virtual time stood still and the receiver of the message slept for ever in the fake's Call. No task of the guard outlives Stop. The fake now counts such messages, and the clean-up waits for them.

No check is changed.

--- a/internal/guard/world_test.go
+++ b/internal/guard/world_test.go
@@ -44,7 +44,9 @@
 	cut     map[[2]ids.Daemon]bool
 	// late makes some messages that get no answer arrive long after.
 	late bool
-	runs map[string]int
+	// flights counts the late messages that have not been answered yet.
+	flights sync.WaitGroup
+	runs    map[string]int
 }
 
 type published struct {
@@ -76,6 +78,8 @@
 		for _, d := range w.daemons {
 			must.NoError(t, d.kern.Stop(5*time.Second))
 		}
+		// Virtual time stands still once the test has returned.
+		w.flights.Wait()
 	})
 	return w
 }
@@ -176,7 +180,7 @@
 	w.mu.Unlock()
 	if lost || peer == nil {
 		if late && peer != nil {
-			time.AfterFunc(3*time.Second, func() { peer.answer(context.Background(), m) })
+			w.sendLate(peer, m)
 		}
 		<-ctx.Done()
 		return nil, errLost
@@ -190,6 +194,15 @@
 	return reply, nil
 }
 
+// sendLate makes a message arrive long after its sender has given it up.
+func (w *world) sendLate(peer *daemon, m message.Message) {
+	w.flights.Add(1)
+	time.AfterFunc(3*time.Second, func() {
+		defer w.flights.Done()
+		peer.answer(context.Background(), m)
+	})
+}
+
 func (d *daemon) answer(ctx context.Context, m message.Message) message.Message {
 	switch m := m.(type) {
 	case message.GuardBegin:
