Give up a relay before the evidence is too old to ask elsewhere

TestPartitions failed under -race with evidence of 2.075 s against 2 s. A follower whose relays do not answer asked the first one at an age under 0.4 s, waited for 1 s, found its evidence under 1.4 s old, and waited for another 1 s at the second. Callers were refused until the log answered. A question now waits no longer than until the evidence is 1.4 s old, and the slack for an answer is 0.3 s, so two lost questions and a read of the log fit into the 2 s.

The bound is unchanged.

--- a/internal/tail/follow.go
+++ b/internal/tail/follow.go
@@ -26,8 +26,9 @@
 	// although it has nothing new.
 	stepPause = 50 * time.Millisecond
 	// pullSlack is the time for a relay's answer beyond its wait, and readSlack
-	// that for the log's when the settings name none.
-	pullSlack = 400 * time.Millisecond
+	// that for the log's when the settings name none. Evidence of staleAfter less
+	// pullSlack lives through two relays that do not answer and a read of the log.
+	pullSlack = 300 * time.Millisecond
 	readSlack = time.Second
 )
 
@@ -83,7 +84,7 @@
 }
 
 func (t *Tail) stepLog(ctx context.Context) error {
-	p, err := t.readLog(ctx, t.Offset()+1, t.patience(readWait))
+	p, err := t.readLog(ctx, t.Offset()+1, t.patience(readWait, 0))
 	if err != nil {
 		if t.Offset() == 0 {
 			return errorx.DecorateMany("start without the log", err, t.fetchAny(ctx, 0))
@@ -96,14 +97,15 @@
 	return t.apply(p)
 }
 
-// patience returns how long a question may wait for a record. While the evidence
-// is old, an answer at once matters more.
-func (t *Tail) patience(usual time.Duration) time.Duration {
+// patience returns how long a question may wait for a record, so that its answer
+// is there, or given up after the slack, before the evidence is out of date.
+func (t *Tail) patience(usual, slack time.Duration) time.Duration {
 	asked, known := t.Asked()
-	if !known || t.Common.Clock.Now().Sub(asked) > staleAfter {
+	if !known {
 		return 0
 	}
-	return usual
+	left := staleAfter - t.Common.Clock.Now().Sub(asked) - slack
+	return max(0, min(usual, left))
 }
 
 // readLog reads one page of the log.
@@ -127,7 +129,7 @@
 }
 
 func (t *Tail) stepPeer(ctx context.Context, id ids.Daemon) error {
-	wait := t.patience(pullWait)
+	wait := t.patience(pullWait, pullSlack)
 	pullCtx, cancel := t.Common.Clock.Within(ctx, wait+pullSlack)
 	defer cancel()
 	asked := t.Common.Clock.Now()
