Look at the members for what is in force only when a record is not

Cause: four times a second each daemon sorted all members, although nothing was waiting to come in force. go test ./internal/crowd -run - -bench Rest -benchtime 1x, 2,000 members: before 39.3 ms/s, after 37.6 ms/s. A small gain, close to the noise of one run.

--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -128,6 +128,7 @@
 
 // step takes over the state that this daemon has read and what gossip says, and
 // advances what is in force. It reports whether every record read is in force.
+// The members are looked at only while a record is not.
 func (f *Force) step() (done bool) {
 	var kept []roster.Roster
 	var since, position, settled ids.Offset
@@ -135,6 +136,9 @@
 		kept, since = s.Rosters()
 		position, settled = s.Offset(), s.Settled()
 	})
+	if f.InForce(position) {
+		return true
+	}
 	own := f.gossip.Own()
 	members := f.directory.Members()
 	f.mu.Lock()
