--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -18,6 +18,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/digest"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/gossip"
@@ -75,6 +76,7 @@
 	kernel    kernel.Kernel
 	mu        sync.Mutex
 	members   []member.Member
+	sum       digest.Digest
 	at        atomic.Uint64
 	bytes     atomic.Int64
 	messages  atomic.Int64
@@ -115,6 +117,7 @@
 		c.members = append(c.members, m)
 		c.directory.Put(m)
 	}
+	c.sum = digest.Of(c.members)
 	for _, s := range []service.Service{
 		c.common.Clock,
 		c.directory,
--- a/internal/crowd/peers.go
+++ b/internal/crowd/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -138,7 +139,9 @@
 func (c *crowd) renew(i int) member.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sum.Toggle(c.members[i])
 	c.members[i].Version++
+	c.sum.Toggle(c.members[i])
 	return c.members[i]
 }
 
@@ -146,5 +149,7 @@
 func (c *crowd) digest() digest.Digest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return digest.Of(append(c.members, c.gossip.Own()))
+	all := maps.Clone(c.sum)
+	all.Toggle(c.gossip.Own())
+	return all
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -24,11 +24,20 @@
 func Of(members []member.Member) Digest {
 	d := Digest{}
 	for _, m := range members {
-		d[m.Centre] ^= sum(m)
+		d.Toggle(m)
 	}
 	return d
 }
 
+// Toggle adds the member's version, or takes it away again. Both are the same
+// step, and a data centre without members has no sum.
+func (d Digest) Toggle(m member.Member) {
+	d[m.Centre] ^= sum(m)
+	if d[m.Centre] == 0 {
+		delete(d, m.Centre)
+	}
+}
+
 func sum(m member.Member) uint64 {
 	var h xxhash.Digest
 	h.Reset()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,10 +9,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"sync"
 
+	"balsamwharf.example/balsamwharf/internal/digest"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -29,6 +31,8 @@
 	members   map[ids.Daemon]known
 	forgotten map[ids.Daemon]tombstone
 	byService map[ids.Service]list
+	// digest sums up the members that have described themselves.
+	digest digest.Digest
 }
 
 // known is a member as this daemon sees it.
@@ -92,7 +96,10 @@
 	if d.members == nil {
 		d.members = map[ids.Daemon]known{}
 		d.byService = map[ids.Service]list{}
+		d.digest = digest.Digest{}
 	}
+	d.sum(old.Member)
+	d.sum(m)
 	d.unindex(old)
 	k := known{Member: m, seen: d.now()}
 	d.members[m.Daemon] = k
@@ -100,6 +107,24 @@
 	return true
 }
 
+// sum adds a description to the digest or takes it away again. Seeds that have not
+// described themselves do not count.
+func (d *Directory) sum(m member.Member) {
+	if m.Incarnation != 0 {
+		d.digest.Toggle(m)
+	}
+}
+
+// Digest returns the digest of all members that have described themselves.
+func (d *Directory) Digest() digest.Digest {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.digest == nil {
+		return digest.Digest{}
+	}
+	return maps.Clone(d.digest)
+}
+
 // SetLost notes that the daemon can't be reached by its peers. It reports whether
 // that is news.
 func (d *Directory) SetLost(id ids.Daemon) bool {
--- a/internal/directory/tombstone.go
+++ b/internal/directory/tombstone.go
@@ -42,6 +42,7 @@
 		}
 		d.forgotten[id] = tombstone{age: k.Age(), at: now}
 		d.unindex(k)
+		d.sum(k.Member)
 		delete(d.members, id)
 	}
 }
--- a/internal/gossip/hear.go
+++ b/internal/gossip/hear.go
@@ -129,7 +129,7 @@
 	return a
 }
 
-func (g *Gossip) digest() digest.Digest { return digest.Of(g.described()) }
+func (g *Gossip) digest() digest.Digest { return g.directory.Digest() }
 
 // described returns the members that have described themselves.
 func (g *Gossip) described() []member.Member {
