--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -11,7 +11,6 @@
 	"context"
 	"maps"
 	"slices"
-	"sort"
 	"sync"
 
 	"balsamwharf.example/balsamwharf/internal/digest"
@@ -33,6 +32,7 @@
 	byService map[ids.Service]list
 	// digest sums up the members that have described themselves.
 	digest digest.Digest
+	sorted sorted
 }
 
 // known is a member as this daemon sees it.
@@ -104,6 +104,7 @@
 	k := known{Member: m, seen: d.now()}
 	d.members[m.Daemon] = k
 	d.index(k)
+	d.sorted = sorted{}
 	return true
 }
 
@@ -138,6 +139,7 @@
 	k.lost, k.lostSince = true, d.now()
 	d.members[id] = k
 	d.index(k)
+	d.sorted = sorted{}
 	return true
 }
 
@@ -156,34 +158,6 @@
 	return k.Member, ok
 }
 
-// Members returns all daemons in order of their names.
-func (d *Directory) Members() []member.Member {
-	return d.where(func(known) bool { return true })
-}
-
-// Reachable returns the daemons that are neither gone nor lost, in order.
-func (d *Directory) Reachable() []member.Member {
-	return d.where(func(k known) bool { return !k.Gone && !k.lost })
-}
-
-// Missing returns the daemons that are lost, in order.
-func (d *Directory) Missing() []member.Member {
-	return d.where(func(k known) bool { return !k.Gone && k.lost })
-}
-
-func (d *Directory) where(keep func(known) bool) []member.Member {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	all := make([]member.Member, 0, len(d.members))
-	for _, k := range d.members {
-		if keep(k) {
-			all = append(all, k.Member)
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Daemon < all[j].Daemon })
-	return all
-}
-
 // Targets returns the targets of a service that take new work. Those of lost
 // daemons come only when there are no others. The caller must not change the
 // slice.
--- /dev/null
+++ b/internal/directory/sorted.go
@@ -0,0 +1,64 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/member"
+)
+
+// sorted holds the members in order, made when they are asked for and dropped
+// when a member changes. Readers keep the slices, so they are never changed.
+type sorted struct {
+	made      bool
+	all       []member.Member
+	reachable []member.Member
+	missing   []member.Member
+}
+
+// Members returns all daemons in order of their names. The caller must not change
+// the slice.
+func (d *Directory) Members() []member.Member { return d.inOrder().all }
+
+// Reachable returns the daemons that are neither gone nor lost, in order. The
+// caller must not change the slice.
+func (d *Directory) Reachable() []member.Member { return d.inOrder().reachable }
+
+// Missing returns the daemons that are lost, in order. The caller must not change
+// the slice.
+func (d *Directory) Missing() []member.Member { return d.inOrder().missing }
+
+func (d *Directory) inOrder() sorted {
+	d.mu.RLock()
+	s := d.sorted
+	d.mu.RUnlock()
+	if s.made {
+		return s
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.sorted.made {
+		d.sorted = d.sort()
+	}
+	return d.sorted
+}
+
+// sort makes the lists. The lock is held.
+func (d *Directory) sort() sorted {
+	s := sorted{made: true, all: make([]member.Member, 0, len(d.members))}
+	for _, k := range d.members {
+		s.all = append(s.all, k.Member)
+	}
+	slices.SortFunc(s.all, func(a, b member.Member) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	s.reachable = make([]member.Member, 0, len(s.all))
+	for _, m := range s.all {
+		switch k := d.members[m.Daemon]; {
+		case k.Gone:
+		case k.lost:
+			s.missing = append(s.missing, m)
+		default:
+			s.reachable = append(s.reachable, m)
+		}
+	}
+	return s
+}
