--- a/spec/check.sh
+++ b/spec/check.sh
@@ -5,42 +5,74 @@
 model="$(cd "$(dirname "$0")" && pwd)/confirm.pml"
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
-memory=4000 # MB
+memory=4000 # MB for each search
+parallel=3
 depth=100000
 
-# search NAME DEFINES... prints the result of one search and leaves it in $found.
+# search DIR DEFINES... builds and runs one search in a directory of its own.
 search() {
-	local name="$1"
+	local dir="$work/$1"
 	shift
-	(cd "$work" && rm -f pan* && spin -a "$@" "$model" >/dev/null &&
-		gcc -O3 -w -DSAFETY -DMEMLIM="$memory" -o pan pan.c)
-	(cd "$work" && ./pan -m"$depth" >out 2>&1) || true
-	if grep -Eq "max search depth too small|out of memory|Search not completed|interrupted" "$work/out" &&
-		! grep -q "errors: 1" "$work/out"; then
-		echo "$name: the search was not complete"
-		cat "$work/out"
-		exit 1
-	fi
-	found="$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work/out")"
-	states="$(sed -n 's/^ *\([0-9.e+]*\) states, stored$/\1/p' "$work/out")"
-	printf '%-44s %10s states, %s errors\n' "$name" "$states" "$found"
+	mkdir "$dir"
+	cd "$dir"
+	spin -a "$@" "$model" >/dev/null
+	gcc -O3 -w -DSAFETY -DMEMLIM="$memory" -o pan pan.c
+	./pan -m"$depth" >out 2>&1 || true
 }
 
-holds() {
-	search "$@"
-	if [ "$found" != 0 ]; then
-		cat "$work/out"
-		(cd "$work" && ./pan -r pan.trail 2>/dev/null | tail -40) || true
+# report NAME DIR prints the result of one search and leaves it in $found.
+report() {
+	local out="$work/$2/out"
+	if grep -Eq "max search depth too small|out of memory|Search not completed|interrupted" "$out" &&
+		! grep -q "errors: 1" "$out"; then
+		echo "$1: the search was not complete"
+		cat "$out"
 		exit 1
 	fi
+	found="$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$out")"
+	states="$(sed -n 's/^ *\([0-9.e+]*\) states, stored$/\1/p' "$out")"
+	printf '%-48s %10s states, %s errors\n' "$1" "$states" "$found"
 }
 
-breaks() {
-	search "$@"
-	if [ "$found" != 1 ] || ! grep -q "assertion violated" "$work/out"; then
-		echo "$1: the broken rule gave no counterexample"
-		exit 1
-	fi
+names=()
+kinds=()
+
+# holds and breaks start a search in the background and note what must come out.
+holds() { begin holds "$@"; }
+breaks() { begin breaks "$@"; }
+
+begin() {
+	local dir="${#names[@]}"
+	kinds+=("$1")
+	names+=("$2")
+	shift 2
+	while [ "$(jobs -rp | wc -l)" -ge "$parallel" ]; do
+		wait -n
+	done
+	(search "$dir" "$@") &
+}
+
+# judge reports all searches in order and fails at the first wrong result.
+judge() {
+	wait
+	for dir in "${!names[@]}"; do
+		report "${names[$dir]}" "$dir"
+		case "${kinds[$dir]}" in
+		holds)
+			if [ "$found" != 0 ]; then
+				cat "$work/$dir/out"
+				(cd "$work/$dir" && ./pan -r pan.trail 2>/dev/null | tail -40) || true
+				exit 1
+			fi
+			;;
+		breaks)
+			if [ "$found" != 1 ] || ! grep -q "assertion violated" "$work/$dir/out"; then
+				echo "${names[$dir]}: the broken rule gave no counterexample"
+				exit 1
+			fi
+			;;
+		esac
+	done
 }
 
 holds "edits and a roster, restart" -DRECORDS=2 -DROSTERS=1
@@ -57,4 +89,5 @@
 breaks "broken: evidence counts from the answer" -DRECORDS=2 -DROSTERS=1 -DANSWERTIME
 breaks "broken: evidence for what witnesses have read" -DRECORDS=2 -DROSTERS=1 -DOLDAT
 breaks "broken: holds by the roster in force alone" -DRECORDS=2 -DROSTERS=1 -DHOLDINGS -DEARLYTAKE
+judge
 echo "the model holds, and every broken rule was found out"
