--- a/internal/confirm/confirm.go
+++ b/internal/confirm/confirm.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"balsamwharf.example/balsamwharf/internal/common"
@@ -53,17 +54,12 @@
 
 // Start implements service.Service.
 func (c *Confirm) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if c.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if c.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
-		return err
-	}
-	if c.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
-		return err
-	}
-	if c.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "tail", &c.tail),
+		kernel.Bind(f, "gossip", &c.gossip),
+		kernel.Bind(f, "force", &c.force),
+		kernel.Bind(f, "dial", &c.peers),
+	); err != nil {
 		return err
 	}
 	go c.run(ctx)
--- a/internal/demo/watch.go
+++ b/internal/demo/watch.go
@@ -57,7 +57,9 @@
 	seen := 0
 	for d.wait(ctx, d.load.Elapsed()+progressPeriod) == nil {
 		lines := d.ledger.Lines()
-		recent := d.ledger.Where(func(l ledger.Line) bool { return withinRate(l) && !d.surgingThen(l) && l.Done > d.load.Elapsed()-progressPeriod })
+		recent := d.ledger.Where(func(l ledger.Line) bool {
+			return withinRate(l) && !d.surgingThen(l) && l.Done > d.load.Elapsed()-progressPeriod
+		})
 		d.say("%4d requests, %5.1f%% of those within rate answered, p99 %s", len(lines)-seen, 100*ledger.Success(recent), ledger.Quantile(recent, 0.99).Round(time.Millisecond))
 		seen = len(lines)
 	}
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -71,17 +72,12 @@
 
 // Start implements service.Service.
 func (e *Ejector) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if e.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if e.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
-		return err
-	}
-	if e.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
-		return err
-	}
-	if e.permits, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "directory", &e.directory),
+		kernel.Bind(f, "gossip", &e.gossip),
+		kernel.Bind(f, "dial", &e.peers),
+		kernel.Bind(f, "permit", &e.permits),
+	); err != nil {
 		return err
 	}
 	go e.run(ctx)
--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"balsamwharf.example/balsamwharf/internal/chain"
@@ -51,17 +52,12 @@
 
 // Start implements service.Service.
 func (f *Force) Start(ctx context.Context, finder service.Finder) error {
-	var err error
-	if f.tail, err = kernel.Find[*tail.Tail](finder, "tail"); err != nil {
-		return err
-	}
-	if f.directory, err = kernel.Find[*directory.Directory](finder, "directory"); err != nil {
-		return err
-	}
-	if f.gossip, err = kernel.Find[*gossip.Gossip](finder, "gossip"); err != nil {
-		return err
-	}
-	if f.peers, err = kernel.Find[peer.Caller](finder, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(finder, "tail", &f.tail),
+		kernel.Bind(finder, "directory", &f.directory),
+		kernel.Bind(finder, "gossip", &f.gossip),
+		kernel.Bind(finder, "dial", &f.peers),
+	); err != nil {
 		return err
 	}
 	go f.run(ctx)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -75,11 +76,10 @@
 
 // Start implements service.Service.
 func (g *Gossip) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if g.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if g.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "directory", &g.directory),
+		kernel.Bind(f, "dial", &g.peers),
+	); err != nil {
 		return err
 	}
 	g.tasks = map[ids.Daemon]*task{}
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"balsamwharf.example/balsamwharf/internal/call"
@@ -35,12 +36,10 @@
 
 // Start implements service.Service.
 func (h *Hop) Start(_ context.Context, f service.Finder) error {
-	var err error
-	if h.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
-		return err
-	}
-	h.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper")
-	return err
+	return errors.Join(
+		kernel.Bind(f, "dial", &h.peers),
+		kernel.Bind(f, "gatekeeper", &h.gatekeeper),
+	)
 }
 
 // Stop implements service.Service.
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -93,27 +93,15 @@
 }
 
 func (o *Operators) find(f service.Finder) error {
-	var err error
-	if o.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if o.publish, err = kernel.Find[*publish.Publish](f, "publish"); err != nil {
-		return err
-	}
-	if o.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if o.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
-		return err
-	}
-	if o.force, err = kernel.Find[force](f, "force"); err != nil {
-		return err
-	}
-	if o.burn, err = kernel.Find[*burn.Burn](f, "burn"); err != nil {
-		return err
-	}
-	o.peers, err = kernel.Find[peer.Caller](f, "dial")
-	return err
+	return errors.Join(
+		kernel.Bind(f, "tail", &o.tail),
+		kernel.Bind(f, "publish", &o.publish),
+		kernel.Bind(f, "directory", &o.directory),
+		kernel.Bind(f, "confirm", &o.standing),
+		kernel.Bind(f, "force", &o.force),
+		kernel.Bind(f, "burn", &o.burn),
+		kernel.Bind(f, "dial", &o.peers),
+	)
 }
 
 func (o *Operators) serve() {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -95,17 +96,12 @@
 
 // Start implements service.Service.
 func (p *Permit) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if p.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if p.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if p.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
-		return err
-	}
-	if p.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "tail", &p.tail),
+		kernel.Bind(f, "directory", &p.directory),
+		kernel.Bind(f, "dial", &p.peers),
+		kernel.Bind(f, "confirm", &p.standing),
+	); err != nil {
 		return err
 	}
 	p.tenure = tenure.Tenure{Gap: maxGap, Limit: maxRosters}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,8 +53,7 @@
 
 // Start implements service.Service.
 func (r *Relay) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if r.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
+	if err := kernel.Bind(f, "tail", &r.tail); err != nil {
 		return err
 	}
 	go r.run(ctx)
--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -72,20 +73,13 @@
 
 // Start implements service.Service.
 func (s *Seating) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if s.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if s.confirm, err = kernel.Find[*confirm.Confirm](f, "confirm"); err != nil {
-		return err
-	}
-	if s.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "tail", &s.tail),
+		kernel.Bind(f, "directory", &s.directory),
+		kernel.Bind(f, "confirm", &s.confirm),
+		kernel.Bind(f, "force", &s.force),
+		kernel.Bind(f, "dial", &s.peers),
+	); err != nil {
 		return err
 	}
 	go s.run(ctx)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -84,14 +85,11 @@
 
 // Start implements service.Service.
 func (s *Snapshot) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if s.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if s.force, err = kernel.Find[force](f, "force"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "tail", &s.tail),
+		kernel.Bind(f, "directory", &s.directory),
+		kernel.Bind(f, "force", &s.force),
+	); err != nil {
 		return err
 	}
 	go s.run(ctx)
