Take turns with the first roster too

Cause: with no roster every daemon ranked itself first, so all of a starting fleet proposed at once (12 daemons: 5 or more appends within 3 ms; 2,000 would exceed what the log takes). Now the known members rank.

--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -116,7 +116,7 @@
 	if !s.waiting || s.base != newest.Version {
 		s.waiting, s.since, s.base = true, now, newest.Version
 	}
-	if now.Sub(s.since) < delay(seats.Rank(newest, self)) {
+	if now.Sub(s.since) < delay(seats.Rank(newest, live, self)) {
 		return
 	}
 	s.waiting = false
--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	change, needed := seats.Plan(roster, live)
-//	order := seats.Rank(roster, self)
+//	before := seats.Rank(roster, live, self)
 //
 // Everybody who knows the same members plans the same change.
 package seats
@@ -134,9 +134,15 @@
 }
 
 // Rank returns how many daemons come before this one in proposing the successor
-// of the roster.
-func Rank(r roster.Roster, self ids.Daemon) int {
+// of the roster. Before the first roster it goes by the members that are known,
+// so that a whole fleet that starts does not propose at once.
+func Rank(r roster.Roster, live []member.Member, self ids.Daemon) int {
 	all := r.Daemons()
+	if len(all) == 0 {
+		for _, m := range live {
+			all = append(all, m.Daemon)
+		}
+	}
 	if !slices.Contains(all, self) {
 		all = append(all, self)
 	}
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -108,7 +108,17 @@
 	r, _ := follow(&s, members(2, 5))
 	seen := map[int]bool{}
 	for _, id := range r.Daemons() {
-		seen[Rank(r, id)] = true
+		seen[Rank(r, nil, id)] = true
+	}
+	must.MapLen(t, 10, seen)
+}
+
+// Before the first roster the members that are known take turns.
+func TestRankBeforeTheFirstRoster(t *testing.T) {
+	live := members(2, 5)
+	seen := map[int]bool{}
+	for _, m := range live {
+		seen[Rank(roster.Roster{}, live, m.Daemon)] = true
 	}
 	must.MapLen(t, 10, seen)
 }
