Add the fair queue between client accounts

Cause: a target's slots were handed out in order of arrival, so one account's surge starved the rest. Deficit round robin by weight, bounded, shedding the account furthest over its share. Not yet called by the gatekeeper.

--- /dev/null
+++ b/internal/fairqueue/fairqueue.go
@@ -0,0 +1,272 @@
+// Package fairqueue orders the requests that wait for a slot of one target, by
+// deficit round robin between client accounts.
+//
+// # Usage
+//
+//	q := fairqueue.Queue[*waiter]{Limit: 64}
+//	if shed, ok := q.Push(w, "andrade/school", 2, settings.Short); ok {
+//		refuse(shed) // the queue was full; shed may be w itself
+//	}
+//	next, ok := q.Pop()
+//
+// Each account takes turns of as many requests as its weight. Within an account
+// urgent routes go first; patience has no effect between accounts. A full queue
+// sheds from the account that is furthest over its share. The caller holds a
+// lock around every call.
+package fairqueue
+
+import (
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Queue holds waiting values. The zero value holds none, because Limit is zero.
+type Queue[T comparable] struct {
+	// Limit is the largest number of values that wait.
+	Limit int
+
+	accounts map[ids.Account]*account[T]
+	// turns holds the accounts with waiting values; the first has the turn.
+	turns []*account[T]
+	owner map[T]*account[T]
+}
+
+// urgencies is the number of different patiences.
+const urgencies = 3
+
+// account is the part of the queue that belongs to one client account.
+type account[T comparable] struct {
+	id     ids.Account
+	weight int
+	// waiting holds the values by urgency, oldest first.
+	waiting [urgencies][]T
+	// deficit is how many more values the account may send in its turn.
+	deficit int
+	// running counts the values that were popped or started and not yet done.
+	running int
+}
+
+func urgencyOf(p settings.Patience) int {
+	switch p {
+	case settings.Short:
+		return 0
+	case settings.Long:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// Len returns how many values wait.
+func (q *Queue[T]) Len() int { return len(q.owner) }
+
+// Push adds a value. When the queue is full it returns the value that must be
+// shed, which may be v itself.
+func (q *Queue[T]) Push(v T, from ids.Account, weight units.Weight, p settings.Patience) (T, bool) {
+	a := q.account(from, weight)
+	var shed T
+	full := len(q.owner) >= q.Limit
+	if full {
+		worst := q.worst(a)
+		if worst == a && !a.hasAfter(urgencyOf(p)) {
+			q.tidy(a)
+			return v, true
+		}
+		shed = worst.last()
+		q.Remove(shed)
+		a = q.account(from, weight)
+	}
+	q.insert(a, v, urgencyOf(p))
+	return shed, full
+}
+
+func (q *Queue[T]) insert(a *account[T], v T, urgency int) {
+	if a.len() == 0 {
+		q.turns = append(q.turns, a)
+	}
+	a.waiting[urgency] = append(a.waiting[urgency], v)
+	if q.owner == nil {
+		q.owner = map[T]*account[T]{}
+	}
+	q.owner[v] = a
+}
+
+// Pop takes the value whose turn it is. Its account counts it as running until
+// Done is called.
+func (q *Queue[T]) Pop() (T, bool) {
+	if len(q.turns) == 0 {
+		var none T
+		return none, false
+	}
+	a := q.turns[0]
+	if a.deficit < 1 {
+		a.deficit += a.weight
+	}
+	a.deficit--
+	v := a.first()
+	a.running++
+	q.take(a, v)
+	if a.len() > 0 && a.deficit < 1 {
+		q.turns = append(q.turns[1:], a)
+	}
+	return v, true
+}
+
+// Remove takes a value out that no longer waits; false means that it was not there.
+func (q *Queue[T]) Remove(v T) bool {
+	a, ok := q.owner[v]
+	if !ok {
+		return false
+	}
+	q.take(a, v)
+	q.tidy(a)
+	return true
+}
+
+// Begin counts a request of the account that did not have to wait.
+func (q *Queue[T]) Begin(from ids.Account, weight units.Weight) { q.account(from, weight).running++ }
+
+// Done counts the end of a request that Pop or Begin started.
+func (q *Queue[T]) Done(from ids.Account) {
+	if a, ok := q.accounts[from]; ok {
+		a.running--
+		q.tidy(a)
+	}
+}
+
+// Ahead returns how many waiting values would be popped before a new one.
+func (q *Queue[T]) Ahead(from ids.Account, weight units.Weight, p settings.Patience) int {
+	own := 0
+	if a, ok := q.accounts[from]; ok {
+		for u := 0; u <= urgencyOf(p); u++ {
+			own += len(a.waiting[u])
+		}
+	}
+	rounds := own/max(int(weight), 1) + 1
+	ahead := own
+	for _, a := range q.turns {
+		if a.id != from {
+			ahead += min(a.len(), rounds*a.weight)
+		}
+	}
+	return ahead
+}
+
+// Running returns how many requests were started and are not done.
+func (q *Queue[T]) Running() int {
+	n := 0
+	for _, a := range q.accounts {
+		n += a.running
+	}
+	return n
+}
+
+func (q *Queue[T]) account(id ids.Account, weight units.Weight) *account[T] {
+	if q.accounts == nil {
+		q.accounts = map[ids.Account]*account[T]{}
+	}
+	a, ok := q.accounts[id]
+	if !ok {
+		a = &account[T]{id: id}
+		q.accounts[id] = a
+	}
+	a.weight = max(int(weight), 1)
+	return a
+}
+
+// worst returns the account furthest over its share, with the arriving value
+// counted to its own. Only accounts with a value to shed come into question.
+func (q *Queue[T]) worst(arriving *account[T]) *account[T] {
+	worst := arriving
+	for _, a := range q.turns {
+		if a.usage(arriving)*worst.weight > worst.usage(arriving)*a.weight {
+			worst = a
+		}
+	}
+	return worst
+}
+
+// usage counts what the account holds of the target.
+func (a *account[T]) usage(arriving *account[T]) int {
+	n := a.len() + a.running
+	if a == arriving {
+		n++
+	}
+	return n
+}
+
+// take removes a waiting value from its account.
+func (q *Queue[T]) take(a *account[T], v T) {
+	delete(q.owner, v)
+	for u := range a.waiting {
+		if i := slices.Index(a.waiting[u], v); i >= 0 {
+			a.waiting[u] = slices.Delete(a.waiting[u], i, i+1)
+		}
+	}
+	if a.len() == 0 {
+		a.deficit = 0
+		q.turns = slices.DeleteFunc(q.turns, func(other *account[T]) bool { return other == a })
+	}
+}
+
+// tidy forgets an account that neither waits nor runs.
+func (q *Queue[T]) tidy(a *account[T]) {
+	if a.len() == 0 && a.running <= 0 {
+		delete(q.accounts, a.id)
+	}
+}
+
+func (a *account[T]) len() int {
+	n := 0
+	for _, w := range a.waiting {
+		n += len(w)
+	}
+	return n
+}
+
+// first returns the most urgent value that has waited longest.
+func (a *account[T]) first() T {
+	for _, w := range a.waiting {
+		if len(w) > 0 {
+			return w[0]
+		}
+	}
+	var none T
+	return none
+}
+
+// last returns the least urgent value that came last.
+func (a *account[T]) last() T {
+	for u := urgencies - 1; u >= 0; u-- {
+		if w := a.waiting[u]; len(w) > 0 {
+			return w[len(w)-1]
+		}
+	}
+	var none T
+	return none
+}
+
+// hasAfter reports whether a less urgent value waits.
+func (a *account[T]) hasAfter(urgency int) bool {
+	for u := urgency + 1; u < urgencies; u++ {
+		if len(a.waiting[u]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Consistent reports whether the counts agree with each other.
+func (q *Queue[T]) Consistent() bool {
+	n := 0
+	for _, a := range q.accounts {
+		if a.running < 0 {
+			return false
+		}
+		n += a.len()
+	}
+	return n == len(q.owner) && n <= max(q.Limit, 0)
+}
