Queue fairly at the gatekeeper and expire announcements

Cause: slots went in order of arrival, a queue had no bound, announcements never expired, and a renewal with other slots or another address dropped the target's connections. A connection that had been closed after a time-out could be put back into the pool, and the next request on it failed as maybe though nothing had been sent (seen in TestSlotsAndFairShares before the fix).

The gatekeeper now has a gate for each target: slots, deficit round robin between client accounts, refusal when the estimate exceeds the deadline, and a Dialer so that tests run over pipes in virtual time. Each request that held a slot ends in Gatekeeper.ended with its Outcome.

Mutations tried, each failed a test: one slot too many; no estimate; a granted slot not handed on by a caller that gave up; drain leaves the queue; no expiry; no resize; a spent connection reused; a turn without the weight.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -6,7 +6,9 @@
 //	PUT    /targets/NAME  {"service": "andrade/payments", "address": "127.0.0.1:9001", "slots": 3}
 //	DELETE /targets/NAME
 //
-// A backend server repeats the PUT to renew and sends the DELETE to drain.
+// A backend server repeats the PUT to renew, three times within its ttl (30s
+// where it names none), and sends the DELETE to drain. A target whose ttl ends
+// gets no new requests.
 package announce
 
 import (
@@ -51,6 +53,8 @@
 	Slots   int         `json:"slots"`
 	// Cold is the time that the backend server needs to warm up, as "30s".
 	Cold string `json:"cold"`
+	// TTL is how long the announcement holds without a renewal, as "30s".
+	TTL string `json:"ttl"`
 }
 
 // Name implements service.Service.
@@ -116,14 +120,28 @@
 	if f.Slots < 1 || f.Slots > maxSlots {
 		return none, errorx.IllegalArgument.New("slots is %d, but must lie between 1 and %d", f.Slots, maxSlots)
 	}
-	cold := time.Duration(0)
-	if f.Cold != "" {
-		if cold, err = time.ParseDuration(f.Cold); err != nil || cold < 0 {
-			return none, errorx.IllegalArgument.New("cold is %q, but must be a duration such as 30s", f.Cold)
-		}
+	cold, err := durationOf("cold", f.Cold)
+	if err != nil {
+		return none, err
+	}
+	ttl, err := durationOf("ttl", f.TTL)
+	if err != nil {
+		return none, err
 	}
 	id := ids.Target(r.PathValue("name"))
-	return gatekeeper.Announcement{ID: id, Service: f.Service, Address: f.Address, Slots: f.Slots, Cold: cold}, nil
+	return gatekeeper.Announcement{ID: id, Service: f.Service, Address: f.Address, Slots: f.Slots, Cold: cold, TTL: ttl}, nil
+}
+
+// durationOf reads an optional duration.
+func durationOf(name, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return 0, errorx.IllegalArgument.New("%s is %q, but must be a duration such as 30s", name, text)
+	}
+	return d, nil
 }
 
 func (a *Announce) remove(w http.ResponseWriter, r *http.Request) {
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	conn, err := backend.Dial(ctx, "127.0.0.1:9001")
+//	conn := backend.New(tcpConn)
 //	answer, sent, err := conn.Exchange(ctx, request)
 //	if err != nil && !sent {
 //		// The backend server has not seen a byte of the request.
@@ -23,8 +23,6 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
-
-	"balsamwharf.example/balsamwharf/internal/ids"
 )
 
 // maxHeaderBytes bounds the header of an answer.
@@ -42,6 +40,8 @@
 
 	mu       sync.Mutex
 	exchange *exchange
+	// spent is set when the connection must not serve another exchange.
+	spent bool
 }
 
 // exchange is one request and its answer.
@@ -54,6 +54,8 @@
 	// reuse is set before over is closed when the connection can serve again.
 	reuse bool
 	sent  atomic.Bool
+	// read is set when the whole body of the request was taken from its source.
+	read  atomic.Bool
 	wrote chan error
 }
 
@@ -62,17 +64,12 @@
 	err    error
 }
 
-// Dial connects to a backend server.
-func Dial(ctx context.Context, addr ids.Address) (*Conn, error) {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", string(addr))
-	if err != nil {
-		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
-	}
+// New starts to use an open connection.
+func New(c net.Conn) *Conn {
 	limited := &io.LimitedReader{R: c, N: maxHeaderBytes}
 	conn := &Conn{net: c, limited: limited, reader: bufio.NewReader(limited), closed: make(chan struct{})}
 	go conn.run()
-	return conn, nil
+	return conn
 }
 
 // Close ends the connection.
@@ -142,7 +139,7 @@
 func (c *Conn) begin(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.Closed() || c.exchange != nil {
+	if c.Closed() || c.spent || c.exchange != nil {
 		return false
 	}
 	c.exchange = x
@@ -154,6 +151,7 @@
 	x.once.Do(func() {
 		c.mu.Lock()
 		c.exchange = nil
+		c.spent = c.spent || !reuse
 		c.mu.Unlock()
 		x.reuse = reuse
 		close(x.over)
@@ -171,24 +169,36 @@
 	if !c.begin(x) {
 		return nil, false, ErrClosed
 	}
-	go c.write(x)
-	var r result
-	select {
-	case r = <-x.answers:
-	case <-c.closed:
-		r = c.last(x)
-	case <-ctx.Done():
-		c.end(x, false)
-		return nil, x.sent.Load(), ctx.Err()
+	stop := context.AfterFunc(ctx, func() { c.end(x, false) })
+	if req.Body == nil {
+		x.read.Store(true)
+		c.write(x)
+	} else {
+		req.Body = &source{ReadCloser: req.Body, exchange: x}
+		go c.write(x)
 	}
+	r := c.wait(ctx, x)
 	if r.err != nil {
+		stop()
 		c.end(x, false)
 		return nil, x.sent.Load(), r.err
 	}
-	r.answer.Body = &body{conn: c, exchange: x, body: r.answer.Body, stop: context.AfterFunc(ctx, func() { c.end(x, false) })}
+	r.answer.Body = &body{conn: c, exchange: x, body: r.answer.Body, stop: stop, closes: r.answer.Close}
 	return r.answer, true, nil
 }
 
+// wait returns the answer, or why there is none.
+func (c *Conn) wait(ctx context.Context, x *exchange) result {
+	select {
+	case r := <-x.answers:
+		return r
+	case <-c.closed:
+		return c.last(x)
+	case <-ctx.Done():
+		return result{err: ctx.Err()}
+	}
+}
+
 // last returns the answer that came just before the connection closed, if any.
 func (c *Conn) last(x *exchange) result {
 	select {
@@ -231,5 +241,7 @@
 	if c.Closed() {
 		return false
 	}
-	return c.current() == nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange == nil && !c.spent
 }
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -17,4 +17,5 @@
 	KeyRefused     = define(203, "key", "A request came without a valid key. The key itself is never logged.")
 	PeerRefused    = define(204, "peer", "A connection between daemons was refused because its certificate does not fit.")
 	PeerLost       = define(205, "lost", "A connection to another daemon failed.")
+	TargetExpired  = define(210, "expired", "A backend server did not renew its announcement; it gets no new requests.")
 )
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -115,6 +115,18 @@
 	return v, true
 }
 
+// Drain empties the queue and returns what waited, in no particular order.
+func (q *Queue[T]) Drain() []T {
+	var all []T
+	for v := range q.owner {
+		all = append(all, v)
+	}
+	for _, v := range all {
+		q.Remove(v)
+	}
+	return all
+}
+
 // Remove takes a value out that no longer waits; false means that it was not there.
 func (q *Queue[T]) Remove(v T) bool {
 	a, ok := q.owner[v]
--- /dev/null
+++ b/internal/gatekeeper/announcement.go
@@ -0,0 +1,138 @@
+package gatekeeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// DefaultTTL is how long an announcement holds that names no other time.
+	DefaultTTL   = 30 * time.Second
+	expiryPeriod = time.Second
+)
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	ID      ids.Target
+	Service ids.Service
+	Address ids.Address
+	Slots   int
+	Cold    time.Duration
+	// TTL is how long the announcement holds without a renewal; zero stands for
+	// DefaultTTL.
+	TTL time.Duration
+}
+
+// Announce adds a target or renews it. Requests in flight go on, also when the
+// slots or the address change.
+func (g *Gatekeeper) Announce(a Announcement) {
+	if a.TTL <= 0 {
+		a.TTL = DefaultTTL
+	}
+	if g.renew(a, g.Common.Clock.Now()) {
+		g.publish()
+	}
+}
+
+// renew reports whether the fleet needs to hear of the announcement.
+func (g *Gatekeeper) renew(a Announcement, now units.Instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.targets == nil {
+		g.targets = map[ids.Target]*target{}
+	}
+	t, ok := g.targets[a.ID]
+	if ok && t.announcement.Service != a.Service {
+		t.gate.close()
+		t.close()
+		ok = false
+	}
+	if !ok {
+		g.targets[a.ID] = newTarget(g, a, now)
+		if g.closed {
+			g.targets[a.ID].gate.close()
+		}
+		return true
+	}
+	t.renewed = now
+	changed := t.announcement != a || t.leaving
+	if !changed {
+		return false
+	}
+	t.change(a, now)
+	if g.closed {
+		t.gate.close()
+	}
+	return true
+}
+
+// Leave marks a target as leaving: it gets no new work.
+func (g *Gatekeeper) Leave(id ids.Target) bool {
+	g.mu.Lock()
+	t, ok := g.targets[id]
+	if ok {
+		t.drain()
+	}
+	g.mu.Unlock()
+	if ok {
+		g.publish()
+	}
+	return ok
+}
+
+// expire drains the targets whose announcement was not renewed, and forgets
+// those that have left and run nothing any more.
+func (g *Gatekeeper) expire(ctx context.Context) {
+	sub := g.Common.Clock.Every(expiryPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			if g.sweep(now) {
+				g.publish()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep reports whether a target changed.
+func (g *Gatekeeper) sweep(now units.Instant) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	changed := false
+	for id, t := range g.targets {
+		switch {
+		case t.leaving && t.gate.idle():
+			t.close()
+			delete(g.targets, id)
+			changed = true
+		case !t.leaving && now.Sub(t.renewed) > t.announcement.TTL:
+			t.drain()
+			g.Common.Warn(event.TargetExpired, zap.String("target", string(id)))
+			changed = true
+		}
+	}
+	return changed
+}
+
+// publish tells the fleet about the targets of this VM.
+func (g *Gatekeeper) publish() {
+	g.gossip.Update(func(m *member.Member) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m.Targets = nil
+		now := g.Common.Clock.Now()
+		for _, t := range g.targets {
+			m.Targets = append(m.Targets, t.describe(now))
+		}
+	})
+}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -6,21 +6,21 @@
 //	answer, err := g.Forward(ctx, head, body)
 //
 // It holds the slots of each target, so it knows the true number of requests in
-// flight, their latency and their outcome.
+// flight, their latency and their outcome. Requests that find no free slot wait
+// in a fair queue between client accounts.
 package gatekeeper
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
-	"time"
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
-	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
@@ -29,20 +29,14 @@
 // Gatekeeper holds the targets of one VM.
 type Gatekeeper struct {
 	Common *common.Common
+	// Dialer reaches the backend servers; nil stands for TCP.
+	Dialer Dialer
 
 	gossip *gossip.Gossip
 
 	mu      sync.Mutex
 	targets map[ids.Target]*target
-}
-
-// Announcement is what a backend server says of itself.
-type Announcement struct {
-	ID      ids.Target
-	Service ids.Service
-	Address ids.Address
-	Slots   int
-	Cold    time.Duration
+	closed  bool
 }
 
 // Name implements service.Service.
@@ -52,10 +46,13 @@
 func (g *Gatekeeper) Needs() []service.Name { return []service.Name{"timer", "gossip"} }
 
 // Start implements service.Service.
-func (g *Gatekeeper) Start(_ context.Context, f service.Finder) error {
+func (g *Gatekeeper) Start(ctx context.Context, f service.Finder) error {
 	var err error
-	g.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
-	return err
+	if g.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
+		return err
+	}
+	go g.expire(ctx)
+	return nil
 }
 
 // Stop closes the connections to the targets.
@@ -68,102 +65,77 @@
 	return nil
 }
 
-// Announce adds a target or renews it.
-func (g *Gatekeeper) Announce(a Announcement) {
-	now := g.Common.Clock.Now()
-	g.mu.Lock()
-	if g.targets == nil {
-		g.targets = map[ids.Target]*target{}
-	}
-	t, ok := g.targets[a.ID]
-	if ok && t.announcement == a && !t.leaving {
-		t.renewed = now
-		g.mu.Unlock()
-		return
-	}
-	if ok {
-		t.close()
-	}
-	g.targets[a.ID] = newTarget(g.Common.Clock, a)
-	g.mu.Unlock()
-	g.publish()
-}
-
-// Leave marks a target as leaving: it gets no new work.
-func (g *Gatekeeper) Leave(id ids.Target) bool {
+// Close refuses all requests from now on, and those that wait; what runs goes on.
+func (g *Gatekeeper) Close() {
 	g.mu.Lock()
-	t, ok := g.targets[id]
-	if ok {
-		t.leaving = true
-	}
-	g.mu.Unlock()
-	if ok {
-		g.publish()
-	}
-	return ok
-}
-
-// publish tells the fleet about the targets of this VM.
-func (g *Gatekeeper) publish() {
-	g.mu.Lock()
-	var list []member.Target
+	defer g.mu.Unlock()
+	g.closed = true
 	for _, t := range g.targets {
-		list = append(list, t.describe(g.Common.Clock.Now()))
+		t.gate.close()
 	}
-	g.mu.Unlock()
-	g.gossip.Update(func(m *member.Member) { m.Targets = list })
 }
 
 // Forward runs a request at the target that its head names.
 func (g *Gatekeeper) Forward(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
-	t, err := g.admit(head)
+	t, err := g.find(head)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := g.Common.Clock.Within(ctx, head.Remaining)
-	if err := t.enter(ctx); err != nil {
+	if err := t.gate.enter(ctx, head); err != nil {
 		cancel()
 		return &call.Answer{Load: t.load()}, err
 	}
 	began := g.Common.Clock.Now()
 	answer, err := t.run(ctx, head, body)
+	first := g.Common.Clock.Now().Sub(began)
 	if err != nil {
 		cancel()
-		t.leave(g.Common.Clock.Now().Sub(began))
+		g.ended(t, Outcome{Head: head, Err: err, Took: first, First: first})
 		return &call.Answer{Load: t.load()}, err
 	}
 	answer.Load = t.load()
-	answer.Body = &held{ReadCloser: answer.Body, release: func() {
+	answer.Body = &held{ReadCloser: answer.Body, release: func(err error) {
 		cancel()
-		t.leave(g.Common.Clock.Now().Sub(began))
+		g.ended(t, Outcome{Head: head, Status: answer.Status, Err: err, Took: g.Common.Clock.Now().Sub(began), First: first})
 	}}
 	return answer, nil
 }
 
-// admit finds the target and refuses work that it must not get.
-func (g *Gatekeeper) admit(head call.Head) (*target, error) {
+// find returns the target of a request and refuses work that it must not get.
+func (g *Gatekeeper) find(head call.Head) (*target, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.closed {
+		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the daemon of the backend server is leaving")
+	}
 	t, ok := g.targets[head.Server]
 	if !ok || t.announcement.Service != head.Service {
 		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the backend server is not here")
 	}
-	if t.leaving {
-		return nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the backend server is leaving")
-	}
 	return t, nil
 }
 
 // held is an answer's body that keeps its slot until it is closed.
 type held struct {
 	io.ReadCloser
-	release func()
+	release func(error)
 	once    sync.Once
+	err     error
+}
+
+// Read implements io.Reader.
+func (h *held) Read(p []byte) (int, error) {
+	n, err := h.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		h.err = err
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
 func (h *held) Close() error {
 	err := h.ReadCloser.Close()
-	h.once.Do(h.release)
+	h.once.Do(func() { h.release(h.err) })
 	return err
 }
--- a/internal/gatekeeper/target.go
+++ b/internal/gatekeeper/target.go
@@ -7,10 +7,14 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"balsamwharf.example/balsamwharf/internal/backend"
 	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/pool"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -21,32 +25,65 @@
 // maxDials bounds how often one request looks for a connection that is still open.
 const maxDials = 3
 
-// typicalWeight is the weight of a new latency in the moving average.
-const typicalWeight = 0.1
-
-// target is one backend server with its slots and its idle connections.
+// target is one backend server with its slots and its idle connections. The
+// gatekeeper's lock guards the fields before the gate.
 type target struct {
-	clock        *timer.Timer
 	announcement Announcement
 	announced    units.Instant
 	renewed      units.Instant
 	leaving      bool
 
-	slots chan struct{}
-	idle  pool.Pool[*backend.Conn]
+	id     ids.Target
+	clock  *timer.Timer
+	dialer Dialer
+	gate   *gate
+	// route is where new connections go; it is replaced when the address changes.
+	route atomic.Pointer[route]
+}
 
-	mu      sync.Mutex
-	waiting int
-	typical time.Duration
+// route is an address with the idle connections to it.
+type route struct {
+	address ids.Address
+	idle    pool.Pool[*backend.Conn]
 }
 
-func newTarget(clock *timer.Timer, a Announcement) *target {
-	now := clock.Now()
-	t := &target{clock: clock, announcement: a, announced: now, renewed: now, slots: make(chan struct{}, a.Slots)}
-	t.idle.Limit = a.Slots
+func newTarget(g *Gatekeeper, a Announcement, now units.Instant) *target {
+	t := &target{id: a.ID, announcement: a, announced: now, renewed: now, clock: g.Common.Clock, dialer: g.Dialer}
+	if t.dialer == nil {
+		t.dialer = &tcp{}
+	}
+	t.gate = newGate(g.Common.Invariant, a.Slots)
+	t.route.Store(newRoute(a))
 	return t
 }
 
+func newRoute(a Announcement) *route {
+	r := &route{address: a.Address}
+	r.idle.Limit = a.Slots
+	return r
+}
+
+// change takes over a new announcement of the same service.
+func (t *target) change(a Announcement, now units.Instant) {
+	if t.leaving || t.announcement.Address != a.Address {
+		t.announced = now
+	}
+	if t.announcement.Address != a.Address || t.announcement.Slots != a.Slots {
+		old := t.route.Swap(newRoute(a))
+		old.close()
+	}
+	t.announcement = a
+	t.leaving = false
+	t.gate.open()
+	t.gate.resize(a.Slots)
+}
+
+// drain refuses new requests; those in flight go on.
+func (t *target) drain() {
+	t.leaving = true
+	t.gate.close()
+}
+
 func (t *target) describe(now units.Instant) member.Target {
 	return member.Target{
 		ID:      t.announcement.ID,
@@ -58,51 +95,17 @@
 	}
 }
 
-// enter waits for a slot.
-func (t *target) enter(ctx context.Context) error {
-	t.wait(1)
-	defer t.wait(-1)
-	select {
-	case t.slots <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return verdict.Wrap(verdict.Unrun, http.StatusServiceUnavailable, "the backend server had no free slot in time", ctx.Err())
-	}
-}
-
-func (t *target) wait(change int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waiting += change
-}
-
-// leave frees the slot and learns from the request's latency.
-func (t *target) leave(took time.Duration) {
-	<-t.slots
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.typical == 0 {
-		t.typical = took
-		return
-	}
-	t.typical += time.Duration(typicalWeight * float64(took-t.typical))
-}
-
+// load returns the gate's load under the target's name.
 func (t *target) load() call.Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return call.Load{
-		Target:   t.announcement.ID,
-		InFlight: len(t.slots),
-		Queued:   t.waiting,
-		Slots:    units.Slots(t.announcement.Slots),
-		Typical:  t.typical,
-		Leaving:  t.leaving,
-	}
+	l := t.gate.load()
+	l.Target = t.id
+	return l
 }
 
-func (t *target) close() {
-	for _, c := range t.idle.Close() {
+func (t *target) close() { t.route.Load().close() }
+
+func (r *route) close() {
+	for _, c := range r.idle.Close() {
 		_ = c.Close()
 	}
 }
@@ -111,7 +114,8 @@
 // has left may be replaced by another.
 func (t *target) run(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
 	for range maxDials {
-		conn, err := t.connect(ctx)
+		way := t.route.Load()
+		conn, err := t.connect(ctx, way)
 		if err != nil {
 			return nil, verdict.Wrap(verdict.Unrun, http.StatusServiceUnavailable, "the backend server can't be reached", err)
 		}
@@ -119,7 +123,7 @@
 		req := requestOf(ctx, left, head, body)
 		resp, sent, err := conn.Exchange(ctx, req)
 		if err == nil {
-			return t.answerOf(conn, resp), nil
+			return answerOf(way, conn, resp), nil
 		}
 		_ = conn.Close()
 		if sent {
@@ -133,11 +137,11 @@
 }
 
 // connect returns an idle connection that is still open, or a new one.
-func (t *target) connect(ctx context.Context) (*backend.Conn, error) {
+func (t *target) connect(ctx context.Context, r *route) (*backend.Conn, error) {
 	for {
-		c, ok := t.idle.Get()
+		c, ok := r.idle.Get()
 		if !ok {
-			return backend.Dial(ctx, t.announcement.Address)
+			return t.dial(ctx, r.address)
 		}
 		if !c.Closed() {
 			return c, nil
@@ -145,6 +149,14 @@
 	}
 }
 
+func (t *target) dial(ctx context.Context, addr ids.Address) (*backend.Conn, error) {
+	c, err := t.dialer.Dial(ctx, addr)
+	if err != nil {
+		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
+	}
+	return backend.New(c), nil
+}
+
 func failure(ctx context.Context, err error) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Wrap(verdict.Maybe, http.StatusGatewayTimeout, "the backend server did not answer within the deadline", err)
@@ -167,8 +179,8 @@
 	return req
 }
 
-func (t *target) answerOf(conn *backend.Conn, resp *http.Response) *call.Answer {
-	back := &returned{ReadCloser: resp.Body, conn: conn, idle: &t.idle}
+func answerOf(r *route, conn *backend.Conn, resp *http.Response) *call.Answer {
+	back := &returned{ReadCloser: resp.Body, conn: conn, idle: &r.idle}
 	return &call.Answer{Status: resp.StatusCode, Header: resp.Header, Length: units.Bytes(resp.ContentLength), Body: back}
 }
 
