Finish everything in flight before a daemon stops

Cause: the kernel stopped the front first, but the fleet heard nothing of the leave, other daemons' requests were still taken, and a service had 30 s. The new service drain is stopped first: it announces the leave, refuses new requests as unrun with Connection: close, and waits for those of callers and of other daemons. An answer's last bytes get 1 s to arrive, because QUIC has no sign that a stream's end was acknowledged.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -13,6 +13,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -24,6 +25,7 @@
 	"balsamwharf.example/balsamwharf/internal/dispatch"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/inflight"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/wire"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -33,6 +35,9 @@
 const (
 	idleTimeout = 30 * time.Second
 	maxStreams  = 4096
+	// deliveryTime is what the last bytes of an answer may need, with repeats of
+	// lost packets, before the socket closes.
+	deliveryTime = time.Second
 )
 
 // Accept listens for other daemons.
@@ -45,6 +50,8 @@
 	dispatch *dispatch.Dispatch
 	listener *quic.Listener
 	streams  sync.WaitGroup
+	requests inflight.Inflight
+	served   atomic.Bool
 }
 
 // Name implements service.Service.
@@ -87,6 +94,19 @@
 	return errors.Join(err, a.Socket.Close())
 }
 
+// Wait refuses new requests and returns when those in progress have ended and
+// their answers have had time to arrive. Control messages are served on.
+func (a *Accept) Wait(ctx context.Context) error {
+	a.requests.Close()
+	if err := a.requests.Wait(ctx); err != nil {
+		return err
+	}
+	if !a.served.Load() {
+		return nil
+	}
+	return a.Common.Clock.Sleep(ctx, deliveryTime)
+}
+
 // accept starts a task for each peer that connects.
 func (a *Accept) accept(ctx context.Context) {
 	for {
--- a/internal/accept/request.go
+++ b/internal/accept/request.go
@@ -17,6 +17,12 @@
 // request runs a request whose body follows on the stream and sends the answer.
 // The stream is reset when the answer is cut, so that the other side sees it.
 func (a *Accept) request(ctx context.Context, m message.Request, stream *quic.Stream) {
+	if !a.requests.Begin() {
+		refuse(stream, nil, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "the daemon of the backend server is leaving"))
+		return
+	}
+	defer a.requests.End()
+	a.served.Store(true)
 	answer, err := a.dispatch.Request(ctx, m.Head, stream)
 	if err != nil {
 		refuse(stream, answer, err)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -22,6 +22,7 @@
 	"balsamwharf.example/balsamwharf/internal/dial"
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/dispatch"
+	"balsamwharf.example/balsamwharf/internal/drain"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/front"
@@ -37,8 +38,9 @@
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 )
 
-// stopTimeout is the time that each service has to finish its work.
-const stopTimeout = 30 * time.Second
+// stopTimeout is the time that each service has to finish its work. Requests in
+// flight are bounded by their own deadlines.
+const stopTimeout = 10 * time.Minute
 
 // App is one daemon.
 type App struct {
@@ -85,6 +87,7 @@
 	a.kernel.Add(&announce.Announce{Common: c, Listener: a.Sockets.Announce})
 	a.kernel.Add(&entry.Entry{Common: c})
 	a.kernel.Add(&front.Front{Common: c, Listener: a.Sockets.Callers})
+	a.kernel.Add(&drain.Drain{Common: c})
 	if err := a.kernel.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/drain/drain.go
@@ -0,0 +1,68 @@
+// Package drain finishes the requests in flight before a daemon stops.
+//
+// # Usage
+//
+//	k.Add(&drain.Drain{Common: c})
+//
+// It needs every service that takes part in serving requests, so the kernel
+// stops it first, while all of them still run: the fleet hears that the daemon
+// leaves, new requests are refused as unrun, and Stop returns when the last
+// request of a caller and of another daemon has ended.
+package drain
+
+import (
+	"context"
+	"errors"
+
+	"balsamwharf.example/balsamwharf/internal/accept"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/front"
+	"balsamwharf.example/balsamwharf/internal/gatekeeper"
+	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Drain is the first service to stop.
+type Drain struct {
+	Common *common.Common
+
+	gossip     *gossip.Gossip
+	gatekeeper *gatekeeper.Gatekeeper
+	accept     *accept.Accept
+	front      *front.Front
+}
+
+// Name implements service.Service.
+func (d *Drain) Name() service.Name { return "drain" }
+
+// Needs implements service.Service.
+func (d *Drain) Needs() []service.Name {
+	return []service.Name{"gossip", "gatekeeper", "accept", "announce", "front"}
+}
+
+// Start implements service.Service.
+func (d *Drain) Start(_ context.Context, f service.Finder) error {
+	var err error
+	if d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
+		return err
+	}
+	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
+		return err
+	}
+	if d.accept, err = kernel.Find[*accept.Accept](f, "accept"); err != nil {
+		return err
+	}
+	d.front, err = kernel.Find[*front.Front](f, "front")
+	return err
+}
+
+// Stop refuses new requests and waits for those in flight.
+func (d *Drain) Stop(ctx context.Context) error {
+	d.gossip.Update(func(m *member.Member) { m.Leaving = true })
+	d.gatekeeper.Close()
+	d.front.Close()
+	callers := d.front.Wait(ctx)
+	return errors.Join(callers, d.accept.Wait(ctx))
+}
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -25,8 +25,25 @@
 	return d.tell(http.MethodPut, body)
 }
 
+// renew repeats the announcement until the daemon stops or its target leaves.
+func (d *Daemon) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			_ = d.Announce()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Leave drains the daemon's backend server.
-func (d *Daemon) Leave() error { return d.tell(http.MethodDelete, nil) }
+func (d *Daemon) Leave() error {
+	d.renewing()
+	return d.tell(http.MethodDelete, nil)
+}
 
 func (d *Daemon) tell(method string, body []byte) error {
 	req, err := http.NewRequest(method, d.announce+"/targets/"+string(d.Standin.ID), bytes.NewReader(body))
@@ -46,6 +63,7 @@
 
 // Stop stops the daemon gracefully.
 func (d *Daemon) Stop() error {
+	d.renewing()
 	err := d.App.Stop()
 	d.App = nil
 	return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,7 @@
 	certValid    = 24 * time.Hour
 	readyTimeout = 20 * time.Second
 	readyPause   = 20 * time.Millisecond
+	renewPeriod  = 10 * time.Second
 )
 
 // RootCredential is the root credential of every fleet.
@@ -88,6 +89,8 @@
 	sockets  app.Sockets
 	set      settings.Daemon
 	cert     *certs.Certs
+	// renewing ends the renewal of the announcement.
+	renewing context.CancelFunc
 }
 
 // New starts a fleet and waits until every daemon knows every target.
@@ -185,6 +188,9 @@
 	if err := d.App.Start(context.Background()); err != nil {
 		return err
 	}
+	var ctx context.Context
+	ctx, d.renewing = context.WithCancel(context.Background())
+	go d.renew(ctx)
 	return d.Announce()
 }
 
@@ -192,7 +198,7 @@
 func (f *Fleet) Close() {
 	for _, d := range f.Daemons {
 		if d.App != nil {
-			_ = d.App.Stop()
+			_ = d.Stop()
 		}
 		if d.backend != nil {
 			d.backend.CloseClientConnections()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,8 +22,10 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/inflight"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
 
 const (
@@ -32,6 +34,8 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+var errLeaving = verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "this daemon is leaving").After(time.Second)
+
 // Front is the HTTP server for callers.
 type Front struct {
 	Common *common.Common
@@ -40,6 +44,7 @@
 
 	entry  *entry.Entry
 	server *http.Server
+	flight inflight.Inflight
 }
 
 // Name implements service.Service.
@@ -96,8 +101,20 @@
 // Stop refuses new connections and waits for the requests in flight.
 func (f *Front) Stop(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
+// Close refuses new requests from now on; Wait returns when the others ended.
+func (f *Front) Close() { f.flight.Close() }
+
+// Wait returns when no request is in flight any more. It must follow Close.
+func (f *Front) Wait(ctx context.Context) error { return f.flight.Wait(ctx) }
+
 // ServeHTTP runs one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !f.flight.Begin() {
+		w.Header().Set("Connection", "close")
+		refuse(w, errLeaving)
+		return
+	}
+	defer f.flight.End()
 	arrival, err := arrivalOf(r)
 	if err != nil {
 		refuse(w, err)
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -29,6 +29,13 @@
 // Refuses closes every connection before it reads a request.
 type Refuses struct{}
 
+// Holds names each request on Arrived and answers it once Release is closed.
+type Holds struct {
+	Arrived chan string
+	Release chan struct{}
+}
+
+func (Holds) isFault()    {}
 func (None) isFault()     {}
 func (Errs) isFault()     {}
 func (Slow) isFault()     {}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -107,6 +107,9 @@
 	case Hangs:
 		<-r.Context().Done()
 		return
+	case Holds:
+		f.Arrived <- r.Header.Get(RequestHeader)
+		<-f.Release
 	case Cuts:
 		cut(w)
 		return
