Choose by load and distance, retry within a budget, hedge late requests

Cause: the chooser's own count was reset by each report and never went down otherwise, remote targets were taken before near ones were full, nothing was forgotten, every daemon used every target, and a failing service was sent three times its load.

The chooser now counts its own open requests, lets reports fade, prefers the own data centre until its slots are taken, starts cold targets slowly, avoids gatekeepers that can't be reached and keeps to 12 targets of a service until these are full or failing. Retries and hedges share one budget for each service; hedges start after the service's 95th percentile and the loser is cancelled.

--- /dev/null
+++ b/internal/chooser/subset.go
@@ -0,0 +1,76 @@
+package chooser
+
+import (
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// subsetSize is how many targets of a service a daemon uses; nearSize of them
+	// come from its own data centre where there are as many.
+	subsetSize = 12
+	nearSize   = 8
+)
+
+// subset is this daemon's part of a service, as indexes into a list.
+type subset struct {
+	list []directory.Candidate
+	near []int
+	far  []int
+	// rest is used when the subset is full or failing.
+	rest []int
+	used units.Instant
+}
+
+func (s *subset) all() []int {
+	return append(append(append([]int(nil), s.near...), s.far...), s.rest...)
+}
+
+// subset returns the daemon's part of the list and keeps it until the list changes.
+func (c *Chooser) subset(now units.Instant, id ids.Service, list []directory.Candidate) *subset {
+	if s, ok := c.subsets[id]; ok && same(s.list, list) {
+		s.used = now
+		return s
+	}
+	if c.subsets == nil {
+		c.subsets = map[ids.Service]*subset{}
+	}
+	s := c.split(id, list)
+	s.used = now
+	c.subsets[id] = s
+	return s
+}
+
+// same reports whether two lists are the same slice; the directory makes a new
+// one for each change.
+func same(a, b []directory.Candidate) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// split orders the targets by rendezvous weight for this daemon and service.
+func (c *Chooser) split(id ids.Service, list []directory.Candidate) *subset {
+	s := &subset{list: list}
+	index := make(map[ids.Daemon]int, len(list))
+	names := make([]ids.Daemon, 0, len(list))
+	for i, t := range list {
+		name := ids.Daemon(string(t.Daemon) + "/" + string(t.ID))
+		index[name] = i
+		names = append(names, name)
+	}
+	var near, far []int
+	for _, name := range rendezvous.Top(string(c.Self)+" "+string(id), names, len(names)) {
+		i := index[name]
+		if list[i].Centre == c.Centre {
+			near = append(near, i)
+		} else {
+			far = append(far, i)
+		}
+	}
+	nears := min(len(near), max(nearSize, subsetSize-len(far)))
+	fars := min(len(far), subsetSize-nears)
+	s.near, s.far = near[:nears], far[:fars]
+	s.rest = append(append([]int(nil), near[nears:]...), far[fars:]...)
+	return s
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,8 +34,8 @@
 	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
 
-// maxAttempts bounds how often one request is forwarded.
-const maxAttempts = 3
+// tidyPeriod is how often unused state is looked for.
+const tidyPeriod = 10 * time.Second
 
 // notConfirmedWait is when a caller may find the daemon confirmed again.
 const notConfirmedWait = time.Second
@@ -43,6 +43,8 @@
 // Entry serves callers' requests.
 type Entry struct {
 	Common *common.Common
+	// Seed fixes the random choices of a test; zero draws a seed.
+	Seed uint64
 
 	tail      *tail.Tail
 	directory *directory.Directory
@@ -50,6 +52,9 @@
 	hop       *hop.Hop
 	standing  standing.Standing
 	chooser   chooser.Chooser
+	rng       *rand.Rand
+	services  services
+	counts    counts
 }
 
 // Arrival is a request as a front end received it.
@@ -73,7 +78,7 @@
 }
 
 // Start implements service.Service.
-func (e *Entry) Start(_ context.Context, f service.Finder) error {
+func (e *Entry) Start(ctx context.Context, f service.Finder) error {
 	var err error
 	if e.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
 		return err
@@ -87,8 +92,38 @@
 	if e.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
-	e.hop, err = kernel.Find[*hop.Hop](f, "hop")
-	return err
+	if e.hop, err = kernel.Find[*hop.Hop](f, "hop"); err != nil {
+		return err
+	}
+	e.prepare()
+	go e.tidy(ctx)
+	return nil
+}
+
+func (e *Entry) prepare() {
+	identity := e.Common.Settings.Identity
+	e.chooser.Self, e.chooser.Centre, e.chooser.Region = identity.Daemon, identity.Centre, identity.Region
+	seed := e.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	e.rng = rand.New(rand.NewPCG(seed, 0))
+	e.counts = newCounts(e.Common.Metrics)
+}
+
+// tidy forgets targets and services that are no longer used.
+func (e *Entry) tidy(ctx context.Context) {
+	sub := e.Common.Clock.Every(tidyPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			e.chooser.Forget(now)
+			e.services.forget(now)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Stop implements service.Service.
@@ -104,6 +139,12 @@
 
 // Serve runs one request. Its errors carry a verdict.
 func (e *Entry) Serve(ctx context.Context, a Arrival, body io.Reader) (*call.Answer, error) {
+	answer, err := e.serve(ctx, a, body)
+	e.counts.ended(err)
+	return answer, err
+}
+
+func (e *Entry) serve(ctx context.Context, a Arrival, body io.Reader) (*call.Answer, error) {
 	r, rest, err := e.rule(a)
 	if err != nil {
 		return nil, err
@@ -120,7 +161,7 @@
 		cancel()
 		return nil, err
 	}
-	answer, err := e.forward(ctx, head, body)
+	answer, err := e.forward(ctx, r, head, body)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -175,72 +216,6 @@
 	return e.limit.Admit(ctx, r.account, r.limits)
 }
 
-// forward tries targets until one answers or a repeat could run the request twice.
-func (e *Entry) forward(ctx context.Context, head call.Head, body io.Reader) (*call.Answer, error) {
-	replay, err := newReplayBody(head, body)
-	if err != nil {
-		return nil, err
-	}
-	tried := map[ids.Target]bool{}
-	for attempt := 1; ; attempt++ {
-		target, err := e.choose(head.Service, tried)
-		if err != nil {
-			return nil, err
-		}
-		tried[target.ID] = true
-		head.Server = target.ID
-		head.Attempt = attempt
-		answer, err := e.send(ctx, target, head, replay.reader())
-		if err == nil {
-			return answer, nil
-		}
-		if attempt == maxAttempts || ctx.Err() != nil || !replay.again() || !mayRepeat(head, err) {
-			return nil, err
-		}
-	}
-}
-
-// mayRepeat reports whether the request can be sent again after the error.
-func mayRepeat(head call.Head, err error) bool {
-	return verdict.Of(err) == verdict.Unrun || head.Idempotent
-}
-
-// choose picks a target that was not tried yet.
-func (e *Entry) choose(id ids.Service, tried map[ids.Target]bool) (directory.Candidate, error) {
-	list := e.directory.Targets(id)
-	if len(tried) > 0 {
-		list = untried(list, tried)
-	}
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	i := e.chooser.Pick(rng, e.Common.Settings.Identity.Centre, list)
-	if i < 0 {
-		return directory.Candidate{}, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "no backend server took the request")
-	}
-	return list[i], nil
-}
-
-func untried(list []directory.Candidate, tried map[ids.Target]bool) []directory.Candidate {
-	var rest []directory.Candidate
-	for _, c := range list {
-		if !tried[c.ID] {
-			rest = append(rest, c)
-		}
-	}
-	return rest
-}
-
-func (e *Entry) send(ctx context.Context, to directory.Candidate, head call.Head, body io.Reader) (*call.Answer, error) {
-	if left, ok := e.Common.Clock.Left(ctx); ok {
-		head.Remaining = left
-	}
-	e.chooser.Begin(to.ID)
-	answer, err := e.hop.Forward(ctx, to.Daemon, head, body)
-	if answer != nil {
-		e.chooser.Learn(answer.Load)
-	}
-	return answer, err
-}
-
 // closing is an answer's body with something to do after it.
 type closing struct {
 	io.ReadCloser
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// maxAttempts bounds how often one request is forwarded.
+const maxAttempts = 3
+
+// journey is one request on its way, with the targets that it was sent to.
+type journey struct {
+	head   call.Head
+	body   *replayBody
+	memory *memory
+	tried  map[ids.Target]bool
+}
+
+// forward tries targets until one answers, a repeat could run the request twice,
+// or the service's retry budget is used up.
+func (e *Entry) forward(ctx context.Context, r rules, head call.Head, body io.Reader) (*call.Answer, error) {
+	replay, err := newReplayBody(head, body)
+	if err != nil {
+		return nil, err
+	}
+	j := &journey{head: head, body: replay, tried: map[ids.Target]bool{}}
+	j.memory = e.services.begin(e.Common.Clock.Now(), head.Service, r.service.Retries)
+	for {
+		answer, err := e.attempt(ctx, j)
+		if err == nil {
+			return answer, nil
+		}
+		if ctx.Err() != nil || len(j.tried) >= maxAttempts || !j.mayRepeat(err) || !j.memory.spend() {
+			return nil, err
+		}
+		if len(e.directory.Targets(head.Service)) <= len(j.tried) {
+			return nil, err
+		}
+		e.counts.retries.Inc(1)
+	}
+}
+
+// mayRepeat reports whether the request can be sent again after the error.
+func (j *journey) mayRepeat(err error) bool {
+	return j.body.again() && (verdict.Of(err) == verdict.Unrun || j.head.Idempotent)
+}
+
+// mayHedge reports whether the request can run at two targets at once.
+func (j *journey) mayHedge() bool {
+	return j.head.Patience == settings.Short && j.head.Idempotent && j.body.again()
+}
+
+// attempt sends the request to one target, or to a second one when the first is
+// late and the route allows it.
+func (e *Entry) attempt(ctx context.Context, j *journey) (*call.Answer, error) {
+	target, err := e.choose(j)
+	if err != nil {
+		return nil, err
+	}
+	if late, ok := j.memory.late(); ok && j.mayHedge() {
+		return e.hedged(ctx, j, target, late)
+	}
+	return e.send(ctx, j, target, len(j.tried))
+}
+
+// choose picks a target that was not tried yet.
+func (e *Entry) choose(j *journey) (directory.Candidate, error) {
+	list := e.directory.Targets(j.head.Service)
+	i := e.chooser.Pick(e.rng, e.Common.Clock.Now(), j.head.Service, list, j.tried)
+	if i < 0 {
+		return directory.Candidate{}, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "no backend server took the request")
+	}
+	j.tried[list[i].ID] = true
+	return list[i], nil
+}
+
+// send hands the request to one target and learns from what comes back.
+func (e *Entry) send(ctx context.Context, j *journey, to directory.Candidate, attempt int) (*call.Answer, error) {
+	head := j.head
+	head.Server = to.ID
+	head.Attempt = attempt
+	if left, ok := e.Common.Clock.Left(ctx); ok {
+		head.Remaining = left
+	}
+	began := e.Common.Clock.Now()
+	e.chooser.Begin(began, to.ID)
+	answer, err := e.hop.Forward(ctx, to.Daemon, head, j.body.reader())
+	now := e.Common.Clock.Now()
+	if err != nil {
+		e.chooser.End(to.ID)
+		e.learn(ctx, to.ID, answer)
+		return nil, err
+	}
+	e.chooser.Learn(now, answer.Load)
+	j.memory.note(now, now.Sub(began))
+	answer.Body = &closing{ReadCloser: answer.Body, then: func() { e.chooser.End(to.ID) }}
+	return answer, nil
+}
+
+// learn notes the load in a refusal, or that no word came from the gatekeeper.
+func (e *Entry) learn(ctx context.Context, id ids.Target, answer *call.Answer) {
+	now := e.Common.Clock.Now()
+	switch {
+	case answer != nil && answer.Load.Target != "":
+		e.chooser.Learn(now, answer.Load)
+	case ctx.Err() == nil:
+		e.chooser.Fail(now, id)
+	}
+}
--- a/internal/gatekeeper/announcement.go
+++ b/internal/gatekeeper/announcement.go
@@ -119,6 +119,9 @@
 			t.drain()
 			g.Common.Warn(event.TargetExpired, zap.String("target", string(id)))
 			changed = true
+		case !t.warm && now.Sub(t.announced) >= t.announcement.Cold:
+			t.warm = true
+			changed = changed || t.announcement.Cold > 0
 		}
 	}
 	return changed
--- a/internal/gatekeeper/target.go
+++ b/internal/gatekeeper/target.go
@@ -32,6 +32,8 @@
 	announced    units.Instant
 	renewed      units.Instant
 	leaving      bool
+	// warm is set when the fleet was told that the cold start is over.
+	warm bool
 
 	id     ids.Target
 	clock  *timer.Timer
@@ -74,6 +76,7 @@
 	}
 	t.announcement = a
 	t.leaving = false
+	t.warm = false
 	t.gate.open()
 	t.gate.resize(a.Slots)
 }
