--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
@@ -39,6 +40,15 @@
 	}
 }
 
+// Follow reports the connections that open and close at the backend server.
+func (d *Daemon) Follow(note func(net.Conn, http.ConnState)) { d.follower.Store(&note) }
+
+func (d *Daemon) follow(c net.Conn, s http.ConnState) {
+	if note := d.follower.Load(); note != nil {
+		(*note)(c, s)
+	}
+}
+
 // Leave drains the daemon's backend server.
 func (d *Daemon) Leave() error {
 	d.renewing()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,7 @@
 	sockets  app.Sockets
 	set      settings.Daemon
 	cert     *certs.Certs
+	follower atomic.Pointer[func(net.Conn, http.ConnState)]
 	// renewing ends the renewal of the announcement.
 	renewing context.CancelFunc
 }
@@ -126,7 +128,9 @@
 	d := &Daemon{ID: id, Centre: f.plan.Centres[i%len(f.plan.Centres)], Service: s.ID, slots: s.Slots}
 	target := ids.Target(fmt.Sprintf("%s-%d", s.ID[len(ids.TeamOf(s.ID))+1:], i+1))
 	d.Standin = &standin.Standin{ID: target, Work: s.Work}
-	d.backend = httptest.NewServer(d.Standin)
+	d.backend = httptest.NewUnstartedServer(d.Standin)
+	d.backend.Config.ConnState = d.follow
+	d.backend.Start()
 	if err := d.listen(); err != nil {
 		return err
 	}
