Pass declared trailers and refuse targets that are no path

Cause: raw callers showed that OPTIONS * was answered by net/http itself, and that a trailer was dropped. Declared trailers now pass, over the hop in chunks with a Trailer message behind them; short answers of known length go out without a flush for each piece; buffers are pooled. A gatekeeper is avoided only when it could not be reached.

--- a/internal/accept/request.go
+++ b/internal/accept/request.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"net/http/httputil"
+	"slices"
 
 	"github.com/quic-go/quic-go"
 
@@ -29,18 +32,34 @@
 		return
 	}
 	defer answer.Body.Close()
-	reply := message.Reply{Status: answer.Status, Header: answer.Header, Length: int64(answer.Length), Load: answer.Load}
+	reply := message.Reply{Status: answer.Status, Header: answer.Header, Length: int64(answer.Length), Load: answer.Load, Trailer: slices.Collect(maps.Keys(answer.Trailer))}
 	if err := wire.Write(stream, reply); err != nil {
 		stream.CancelWrite(0)
 		return
 	}
-	if _, err := io.Copy(stream, answer.Body); err != nil {
+	if err := sendBody(stream, answer); err != nil {
 		stream.CancelWrite(0)
 		return
 	}
 	_ = stream.Close()
 }
 
+// sendBody sends the answer's body and, where there is one, its trailer.
+func sendBody(stream *quic.Stream, answer *call.Answer) error {
+	if len(answer.Trailer) == 0 {
+		_, err := io.Copy(stream, answer.Body)
+		return err
+	}
+	chunks := httputil.NewChunkedWriter(stream)
+	if _, err := io.Copy(chunks, answer.Body); err != nil {
+		return err
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	return wire.Write(stream, message.Trailer{Header: answer.Trailer})
+}
+
 func refuse(stream *quic.Stream, answer *call.Answer, err error) {
 	r := refusalOf(err)
 	if answer != nil {
--- a/internal/dial/send.go
+++ b/internal/dial/send.go
@@ -44,7 +44,13 @@
 	}
 	switch m := reply.(type) {
 	case message.Reply:
-		return answerOf(m, &answerBody{stream: stream, sent: sent, stop: stop}), nil
+		body := &answerBody{stream: stream, sent: sent, stop: stop}
+		answer := answerOf(m, body)
+		if len(m.Trailer) > 0 {
+			answer.Trailer = map[string][]string{}
+			answer.Body = newTrailed(body, m.Trailer, answer.Trailer)
+		}
+		return answer, nil
 	case message.Refusal:
 		stop()
 		abort(stream)
--- /dev/null
+++ b/internal/dial/trailed.go
@@ -0,0 +1,60 @@
+package dial
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http/httputil"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/wire"
+)
+
+// trailed is an answer's body in chunks with a trailer behind it. The trailer is
+// filled in when the body has been read to its end.
+type trailed struct {
+	io.Closer
+	stream  *bufio.Reader
+	chunks  io.Reader
+	trailer map[string][]string
+	ended   error
+}
+
+func newTrailed(body io.ReadCloser, names []string, trailer map[string][]string) *trailed {
+	for _, name := range names {
+		trailer[name] = nil
+	}
+	stream := bufio.NewReader(body)
+	return &trailed{Closer: body, stream: stream, chunks: httputil.NewChunkedReader(stream), trailer: trailer}
+}
+
+// Read implements io.Reader.
+func (t *trailed) Read(p []byte) (int, error) {
+	if t.ended != nil {
+		return 0, t.ended
+	}
+	n, err := t.chunks.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = t.readTrailer()
+	}
+	t.ended = err
+	return n, err
+}
+
+// readTrailer returns io.EOF when the answer is whole.
+func (t *trailed) readTrailer() error {
+	m, err := wire.Read(t.stream)
+	if err != nil {
+		return errorx.Decorate(io.ErrUnexpectedEOF, "read trailer: %v", err)
+	}
+	last, ok := m.(message.Trailer)
+	if !ok {
+		return errorx.IllegalFormat.New("a %T came in place of the trailer", m)
+	}
+	for name := range t.trailer {
+		t.trailer[name] = last.Header[name]
+	}
+	return io.EOF
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -95,7 +95,7 @@
 	now := e.Common.Clock.Now()
 	if err != nil {
 		e.chooser.End(to.ID)
-		e.learn(ctx, to.ID, answer)
+		e.learn(to.ID, answer, err)
 		return nil, err
 	}
 	e.chooser.Learn(now, answer.Load)
@@ -104,13 +104,13 @@
 	return answer, nil
 }
 
-// learn notes the load in a refusal, or that no word came from the gatekeeper.
-func (e *Entry) learn(ctx context.Context, id ids.Target, answer *call.Answer) {
+// learn notes the load in a refusal, or that the gatekeeper was not reached.
+func (e *Entry) learn(id ids.Target, answer *call.Answer, err error) {
 	now := e.Common.Clock.Now()
 	switch {
 	case answer != nil && answer.Load.Target != "":
 		e.chooser.Learn(now, answer.Load)
-	case ctx.Err() == nil:
+	case verdict.Of(err) == verdict.Unrun:
 		e.chooser.Fail(now, id)
 	}
 }
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -11,14 +11,20 @@
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
 )
 
 // Announce announces the daemon's backend server to it.
 func (d *Daemon) Announce() error {
+	return d.AnnounceAt(d.backend.Listener.Addr().String(), d.slots)
+}
+
+// AnnounceAt announces another backend server in place of the daemon's own.
+func (d *Daemon) AnnounceAt(address string, slots units.Slots) error {
 	body, err := json.Marshal(map[string]any{
 		"service": d.Service,
-		"address": d.backend.Listener.Addr().String(),
-		"slots":   d.slots,
+		"address": address,
+		"slots":   slots,
 	})
 	if err != nil {
 		return err
--- a/internal/front/arrival.go
+++ b/internal/front/arrival.go
@@ -23,6 +23,9 @@
 
 // arrivalOf turns an HTTP request into plain values.
 func arrivalOf(r *http.Request) (entry.Arrival, error) {
+	if !strings.HasPrefix(r.URL.Path, "/") {
+		return entry.Arrival{}, verdict.New(verdict.Unrun, http.StatusBadRequest, "the request target must be a path")
+	}
 	timeout, err := timeoutOf(r.Header.Get(timeoutHeader))
 	if err != nil {
 		return entry.Arrival{}, err
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/inflight"
+	"balsamwharf.example/balsamwharf/internal/pool"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
@@ -32,8 +33,12 @@
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	bufferSize        = 32 << 10
 )
 
+// buffers are shared by all answers.
+var buffers = pool.Buffers{Size: bufferSize}
+
 var errLeaving = verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "this daemon is leaving").After(time.Second)
 
 // Front is the HTTP server for callers.
@@ -75,7 +80,10 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           f,
+		Handler: f,
+
+		DisableGeneralOptionsHandler: true,
+
 		Protocols:         protocols,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -143,11 +151,35 @@
 func write(w http.ResponseWriter, a *call.Answer) error {
 	copyHeader(w.Header(), a.Header)
 	w.Header().Set("Verdict", "ran")
+	for name := range a.Trailer {
+		w.Header().Add("Trailer", name)
+	}
 	w.WriteHeader(a.Status)
-	_, err := io.Copy(flushing{w}, a.Body)
+	if err := copyBody(w, a); err != nil {
+		return err
+	}
+	for name, values := range a.Trailer {
+		w.Header()[name] = values
+	}
+	return nil
+}
+
+// copyBody hands pieces of unknown length on at once, so that slow answers reach
+// the caller. A short answer of known length goes out in one piece.
+func copyBody(w http.ResponseWriter, a *call.Answer) error {
+	buffer := buffers.Get()
+	defer buffers.Put(buffer)
+	to := io.Writer(flushing{w})
+	if a.Length >= 0 && a.Length <= bufferSize {
+		to = onlyWriter{w}
+	}
+	_, err := io.CopyBuffer(to, a.Body, *buffer)
 	return err
 }
 
+// onlyWriter hides ReadFrom, which would take a buffer of its own.
+type onlyWriter struct{ io.Writer }
+
 // flushing hands each piece on at once, so that slow answers reach the caller.
 type flushing struct{ w http.ResponseWriter }
 
--- a/internal/gatekeeper/target.go
+++ b/internal/gatekeeper/target.go
@@ -184,7 +184,7 @@
 
 func answerOf(r *route, conn *backend.Conn, resp *http.Response) *call.Answer {
 	back := &returned{ReadCloser: resp.Body, conn: conn, idle: &r.idle}
-	return &call.Answer{Status: resp.StatusCode, Header: resp.Header, Length: units.Bytes(resp.ContentLength), Body: back}
+	return &call.Answer{Status: resp.StatusCode, Header: resp.Header, Trailer: resp.Trailer, Length: units.Bytes(resp.ContentLength), Body: back}
 }
 
 // returned is an answer's body that gives its connection back.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -31,8 +31,14 @@
 	Header map[string][]string
 	Length int64
 	Load   call.Load
+	// Trailer names the header fields that follow the body. Where there are any,
+	// the body is sent in chunks, with a Trailer behind it.
+	Trailer []string
 }
 
+// Trailer ends an answer whose Reply announced header fields after the body.
+type Trailer struct{ Header map[string][]string }
+
 // Refusal ends a Request without an answer.
 type Refusal struct {
 	Verdict verdict.Verdict
@@ -44,4 +50,5 @@
 
 func (Request) isMessage() {}
 func (Reply) isMessage()   {}
+func (Trailer) isMessage() {}
 func (Refusal) isMessage() {}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -12,6 +12,7 @@
 const (
 	kindRequest  kind = "request"
 	kindReply    kind = "reply"
+	kindTrailer  kind = "trailer"
 	kindRefusal  kind = "refusal"
 	kindAnnounce kind = "announce"
 	kindNoted    kind = "noted"
@@ -23,6 +24,8 @@
 		return kindRequest, nil
 	case message.Reply:
 		return kindReply, nil
+	case message.Trailer:
+		return kindTrailer, nil
 	case message.Refusal:
 		return kindRefusal, nil
 	case message.Announce:
@@ -40,6 +43,8 @@
 		return decodeAs[message.Request](body)
 	case kindReply:
 		return decodeAs[message.Reply](body)
+	case kindTrailer:
+		return decodeAs[message.Trailer](body)
 	case kindRefusal:
 		return decodeAs[message.Refusal](body)
 	case kindAnnounce:
