--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -23,6 +23,8 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
 )
 
 // maxHeaderBytes bounds the header of an answer.
@@ -72,6 +74,16 @@
 	return conn
 }
 
+// Dial opens a connection over TCP.
+func Dial(ctx context.Context, addr ids.Address) (*Conn, error) {
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
+	}
+	return New(c), nil
+}
+
 // Close ends the connection.
 func (c *Conn) Close() error { return c.net.Close() }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,16 +9,24 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/joomcode/errorx"
 
+	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/permit"
+	"balsamwharf.example/balsamwharf/internal/relay"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -29,6 +37,13 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	burn       *burn.Burn
+	lender     *lender.Lender
+	guard      *guard.Guard
+	relay      *relay.Relay
+	confirm    *confirm.Confirm
+	permit     *permit.Permit
+	ejector    *ejector.Ejector
 }
 
 // Name implements service.Service.
@@ -36,17 +51,32 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip"}
+	return []service.Name{
+		"gatekeeper",
+		"gossip",
+		"relay",
+		"confirm",
+		"lender",
+		"guard",
+		"burn",
+		"permit",
+		"ejector",
+	}
 }
 
 // Start implements service.Service.
 func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
-	var err error
-	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
-		return err
-	}
-	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
-	return err
+	return errors.Join(
+		kernel.Bind(f, "gatekeeper", &d.gatekeeper),
+		kernel.Bind(f, "gossip", &d.gossip),
+		kernel.Bind(f, "relay", &d.relay),
+		kernel.Bind(f, "confirm", &d.confirm),
+		kernel.Bind(f, "lender", &d.lender),
+		kernel.Bind(f, "guard", &d.guard),
+		kernel.Bind(f, "burn", &d.burn),
+		kernel.Bind(f, "permit", &d.permit),
+		kernel.Bind(f, "ejector", &d.ejector),
+	)
 }
 
 // Stop implements service.Service.
@@ -58,10 +88,34 @@
 }
 
 // Control answers a message that has no body.
-func (d *Dispatch) Control(_ context.Context, _ ids.Daemon, m message.Message) (message.Message, error) {
+func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Borrow:
+		return d.lender.Lend(from, m), nil
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m), nil
+	case message.GuardLook:
+		return d.guard.Look(m), nil
+	case message.GuardCopy:
+		return d.guard.Copy(m), nil
+	case message.GuardEnd:
+		return d.guard.End(ctx, m), nil
+	case message.Count:
+		return message.Counted{Tally: d.burn.Tally()}, nil
+	case message.Probe:
+		return d.gossip.Try(ctx, m), nil
+	case message.Pull:
+		return d.relay.Pull(ctx, m), nil
+	case message.Fetch:
+		return d.relay.Fetch(m)
+	case message.Question:
+		return d.confirm.Answer(), nil
+	case message.Permit, message.Release:
+		return d.permit.Hear(from, m), nil
+	case message.Compare:
+		return d.ejector.Compare(m), nil
 	default:
 		return nil, errorx.IllegalArgument.New("a %T is not a question", m)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"balsamwharf.example/balsamwharf/internal/chooser"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/limit"
@@ -49,6 +50,7 @@
 	tail      *tail.Tail
 	directory *directory.Directory
 	limit     *limit.Limit
+	guard     *guard.Guard
 	hop       *hop.Hop
 	standing  standing.Standing
 	chooser   chooser.Chooser
@@ -74,7 +76,7 @@
 
 // Needs implements service.Service.
 func (e *Entry) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm"}
+	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm", "guard"}
 }
 
 // Start implements service.Service.
@@ -89,6 +91,9 @@
 	if e.limit, err = kernel.Find[*limit.Limit](f, "limit"); err != nil {
 		return err
 	}
+	if e.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
+		return err
+	}
 	if e.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
@@ -161,7 +166,7 @@
 		cancel()
 		return nil, err
 	}
-	answer, err := e.forward(ctx, r, head, body)
+	answer, err := e.once(ctx, r, head, body)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"balsamwharf.example/balsamwharf/internal/call"
@@ -25,11 +24,7 @@
 
 // forward tries targets until one answers, a repeat could run the request twice,
 // or the service's retry budget is used up.
-func (e *Entry) forward(ctx context.Context, r rules, head call.Head, body io.Reader) (*call.Answer, error) {
-	replay, err := newReplayBody(head, body)
-	if err != nil {
-		return nil, err
-	}
+func (e *Entry) forward(ctx context.Context, r rules, head call.Head, replay *replayBody) (*call.Answer, error) {
 	j := &journey{head: head, body: replay, tried: map[ids.Target]bool{}}
 	j.memory = e.services.begin(e.Common.Clock.Now(), head.Service, r.service.Retries)
 	for {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -140,7 +141,7 @@
 	}
 	d.set.Identity = settings.Identity{Daemon: id, Centre: d.Centre, Region: "home"}
 	d.set.Logging.Level = "info"
-	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second}
+	d.set.Platform = settings.Platform{Log: f.server.URL, Timeout: time.Second, Retention: 24 * time.Hour}
 	f.Daemons = append(f.Daemons, d)
 	return nil
 }
@@ -153,13 +154,18 @@
 	if d.sockets.Announce, err = net.Listen("tcp", loopback); err != nil {
 		return errorx.Decorate(err, "listen for backend servers")
 	}
+	if d.sockets.Operators, err = net.Listen("tcp", loopback); err != nil {
+		return errorx.Decorate(err, "listen for operators")
+	}
 	if d.sockets.Peers, err = net.ListenPacket("udp", loopback); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
 	d.set.Listen.Callers = ids.Address(d.sockets.Callers.Addr().String())
 	d.set.Listen.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
 	d.set.Listen.Announce = ids.Address(d.sockets.Announce.Addr().String())
+	d.set.Listen.Operators = ids.Address(d.sockets.Operators.Addr().String())
 	d.Callers = "http://" + string(d.set.Listen.Callers)
+	d.Operators = "http://" + string(d.set.Listen.Operators)
 	d.announce = "http://" + string(d.set.Listen.Announce)
 	return nil
 }
@@ -200,19 +206,25 @@
 
 // Close stops everything.
 func (f *Fleet) Close() {
+	var wg sync.WaitGroup
 	for _, d := range f.Daemons {
-		if d.App != nil {
-			_ = d.Stop()
-		}
-		if d.backend != nil {
-			d.backend.CloseClientConnections()
-			d.backend.Close()
-		}
+		wg.Go(d.close)
 	}
+	wg.Wait()
 	f.server.CloseClientConnections()
 	f.server.Close()
 }
 
+func (d *Daemon) close() {
+	if d.App != nil {
+		_ = d.Stop()
+	}
+	if d.backend != nil {
+		d.backend.CloseClientConnections()
+		d.backend.Close()
+	}
+}
+
 // Edit publishes a section and waits until every daemon has applied it.
 func (f *Fleet) Edit(path ids.Path, values map[string]string) error {
 	base := ids.Offset(0)
--- a/internal/gatekeeper/announcement.go
+++ b/internal/gatekeeper/announcement.go
@@ -56,6 +56,7 @@
 	}
 	if !ok {
 		g.targets[a.ID] = newTarget(g, a, now)
+		g.track(a)
 		if g.closed {
 			g.targets[a.ID].gate.close()
 		}
@@ -67,6 +68,7 @@
 		return false
 	}
 	t.change(a, now)
+	g.track(a)
 	if g.closed {
 		t.gate.close()
 	}
@@ -114,6 +116,7 @@
 		case t.leaving && t.gate.idle():
 			t.close()
 			delete(g.targets, id)
+			g.ejector.Forget(id)
 			changed = true
 		case !t.leaving && now.Sub(t.renewed) > t.announcement.TTL:
 			t.drain()
@@ -137,5 +140,6 @@
 		for _, t := range g.targets {
 			m.Targets = append(m.Targets, t.describe(now))
 		}
+		g.ejector.Mark(m)
 	})
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -19,6 +19,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -32,7 +33,8 @@
 	// Dialer reaches the backend servers; nil stands for TCP.
 	Dialer Dialer
 
-	gossip *gossip.Gossip
+	gossip  *gossip.Gossip
+	ejector *ejector.Ejector
 
 	mu      sync.Mutex
 	targets map[ids.Target]*target
@@ -43,7 +45,7 @@
 func (g *Gatekeeper) Name() service.Name { return "gatekeeper" }
 
 // Needs implements service.Service.
-func (g *Gatekeeper) Needs() []service.Name { return []service.Name{"timer", "gossip"} }
+func (g *Gatekeeper) Needs() []service.Name { return []service.Name{"timer", "gossip", "ejector"} }
 
 // Start implements service.Service.
 func (g *Gatekeeper) Start(ctx context.Context, f service.Finder) error {
@@ -51,6 +53,9 @@
 	if g.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip"); err != nil {
 		return err
 	}
+	if g.ejector, err = kernel.Find[*ejector.Ejector](f, "ejector"); err != nil {
+		return err
+	}
 	go g.expire(ctx)
 	return nil
 }
@@ -81,19 +86,25 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := g.refuseEjected(head); err != nil {
+		return &call.Answer{Load: t.load()}, err
+	}
 	ctx, cancel := g.Common.Clock.Within(ctx, head.Remaining)
 	if err := t.gate.enter(ctx, head); err != nil {
 		cancel()
 		return &call.Answer{Load: t.load()}, err
 	}
 	began := g.Common.Clock.Now()
-	answer, err := t.run(ctx, head, body)
+	seen := g.observe(head, body)
+	answer, err := t.run(ctx, head, seen)
 	first := g.Common.Clock.Now().Sub(began)
 	if err != nil {
+		seen.failed(ctx, err)
 		cancel()
 		g.ended(t, Outcome{Head: head, Err: err, Took: first, First: first})
 		return &call.Answer{Load: t.load()}, err
 	}
+	seen.answered(ctx, answer)
 	answer.Load = t.load()
 	answer.Body = &held{ReadCloser: answer.Body, release: func(err error) {
 		cancel()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,11 +5,19 @@
 //	r := standing.Roster()
 //	holders := rendezvous.Top(string(account), r.Daemons(), 2)
 //
+//	if r.Holds(self, incarnation, func(one roster.Roster) ids.Daemon { ... }) { spend }
+//
 // A roster is named by a record of the log and counts once that record is in
-// force, so no two daemons act on different rosters at the same time.
+// force. Daemons learn that at different times, so a holder must be named by the
+// roster in force and by every newer one that was read: see Holds.
 package roster
 
-import "balsamwharf.example/balsamwharf/internal/ids"
+import (
+	"cmp"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+)
 
 // Roster is the list of daemons as of a record. The zero Roster is empty.
 type Roster struct {
@@ -17,6 +25,8 @@
 	Version ids.Offset
 	// Entries are in order of Daemon. They must not be changed.
 	Entries []Entry
+	// Next holds newer rosters that were read but are not in force, oldest first.
+	Next []Roster
 }
 
 // Entry is one daemon of a roster. A restarted daemon has another incarnation
@@ -33,12 +43,11 @@
 
 // Find returns the entry of a daemon.
 func (r Roster) Find(id ids.Daemon) (Entry, bool) {
-	for _, e := range r.Entries {
-		if e.Daemon == id {
-			return e, true
-		}
+	i, ok := slices.BinarySearchFunc(r.Entries, id, func(e Entry, id ids.Daemon) int { return cmp.Compare(e.Daemon, id) })
+	if !ok {
+		return Entry{}, false
 	}
-	return Entry{}, false
+	return r.Entries[i], true
 }
 
 // Daemons returns the names in order.
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,80 @@
+// Package share splits a client account's rate and burst over a few holders.
+//
+// # Usage
+//
+//	s := share.Of(account, limits, roster)
+//	for _, h := range s.Holders { ... }
+//
+// Every daemon with the same roster and settings computes the same share.
+package share
+
+import (
+	"maps"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	minHolders     = 2
+	maxHolders     = 8
+	ratePerHolder  = 2000
+	burstPerHolder = 2
+)
+
+// Share is what each holder of one account has.
+type Share struct {
+	Rate    units.Rate
+	Burst   units.Tokens
+	Holders []ids.Daemon
+}
+
+// Count returns the number of holders that the limits ask for. Each one can hold
+// whole tokens, unless the burst is too small for that.
+func Count(a settings.Account) int {
+	byRate := minHolders + int(a.Rate/ratePerHolder)
+	byBurst := a.Burst / burstPerHolder
+	return max(1, min(byRate, byBurst, maxHolders))
+}
+
+// Of returns the share of an account's holders under a roster.
+func Of(id ids.Account, a settings.Account, r roster.Roster) Share {
+	holders := Spread(Thing(id), r, Count(a))
+	n := max(1, len(holders))
+	return Share{
+		Rate:    a.Rate / units.Rate(n),
+		Burst:   units.Tokens(a.Burst) * units.Token / units.Tokens(n),
+		Holders: holders,
+	}
+}
+
+// Thing names an account for Spread.
+func Thing(id ids.Account) string { return "account/" + string(id) }
+
+// Spread returns up to n daemons for a thing, by rendezvous hashing: first the
+// best daemon of each data centre, then the best of the rest.
+func Spread(thing string, r roster.Roster, n int) []ids.Daemon {
+	best := map[ids.Centre]ids.Daemon{}
+	weights := map[ids.Centre]uint64{}
+	t := rendezvous.ThingOf(thing)
+	for _, e := range r.Entries {
+		w := t.Weight(e.Daemon)
+		if old, ok := best[e.Centre]; !ok || w > weights[e.Centre] || (w == weights[e.Centre] && e.Daemon < old) {
+			best[e.Centre], weights[e.Centre] = e.Daemon, w
+		}
+	}
+	picked := rendezvous.Top(thing, slices.Collect(maps.Values(best)), n)
+	if len(picked) == n || len(picked) == len(r.Entries) {
+		return picked
+	}
+	for _, d := range rendezvous.Top(thing, r.Daemons(), len(r.Entries)) {
+		if len(picked) < n && !slices.Contains(picked, d) {
+			picked = append(picked, d)
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/tenure/tenure.go
@@ -0,0 +1,128 @@
+// Package tenure remembers since when this daemon has had a seat under the
+// rosters that it saw.
+//
+// # Usage
+//
+//	changed := t.Observe(now, roster) // only while confirmed
+//	since, ok := t.Since(func(r roster.Roster) bool { return holds(r) })
+package tenure
+
+import (
+	"slices"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// Change says what an observation brought.
+type Change string
+
+// The changes.
+const (
+	// Same means that the roster is the one observed before.
+	Same Change = "same"
+	// Next means that it is another roster.
+	Next Change = "next"
+	// Broken means that it is another roster after a time without observations,
+	// in which others may have been in force. What came before is forgotten.
+	Broken Change = "broken"
+)
+
+// Tenure is a list of rosters, those in force and those only read, with the
+// instants of their first observation.
+type Tenure struct {
+	// Gap is the longest time without observation in which no other roster can
+	// have given anything out.
+	Gap time.Duration
+	// Limit is how many rosters are remembered.
+	Limit int
+
+	seen []sighting
+	last units.Instant
+}
+
+// sighting is a roster with the instant at which it was first seen in force, or
+// only read.
+type sighting struct {
+	roster roster.Roster
+	force  bool
+	at     units.Instant
+}
+
+// Observe takes down the roster in force and those that were read after it. It
+// must be called only while the daemon is confirmed.
+func (t *Tenure) Observe(now units.Instant, r roster.Roster) Change {
+	defer func() { t.last = now }()
+	change := Same
+	for i, one := range r.All() {
+		if at := t.find(one); at >= 0 {
+			if i == 0 && !t.seen[at].force {
+				t.seen[at].force, t.seen[at].at = true, now
+				change = Next
+			}
+			continue
+		}
+		if len(t.seen) > 0 && now.Sub(t.last) > t.Gap && change != Broken {
+			t.seen = nil
+			change = Broken
+		}
+		if change == Same {
+			change = Next
+		}
+		t.seen = append(t.seen, sighting{roster: one, force: i == 0, at: now})
+	}
+	if len(t.seen) > t.Limit {
+		t.seen = slices.Clone(t.seen[len(t.seen)-t.Limit:])
+	}
+	return change
+}
+
+// find returns the place of a roster; one without a version is only compared
+// with the newest.
+func (t *Tenure) find(r roster.Roster) int {
+	for i := len(t.seen) - 1; i >= 0; i-- {
+		if equal(t.seen[i].roster, r) {
+			return i
+		}
+		if r.Version == 0 {
+			break
+		}
+	}
+	return -1
+}
+
+// equal compares versions, and the entries of rosters without a version.
+func equal(a, b roster.Roster) bool {
+	if a.Version != b.Version {
+		return false
+	}
+	return a.Version != 0 || slices.Equal(a.Entries, b.Entries)
+}
+
+// Since returns from when on a roster in force has met the condition, if all later
+// ones meet it, also those that were only read. It is false when the newest does
+// not, or when none of them was in force.
+func (t *Tenure) Since(holds func(roster.Roster) bool) (units.Instant, bool) {
+	var since units.Instant
+	found := false
+	for i := len(t.seen) - 1; i >= 0 && holds(t.seen[i].roster); i-- {
+		if t.seen[i].force {
+			since, found = t.seen[i].at, true
+		}
+	}
+	return since, found
+}
+
+// Within returns the rosters that may have been acted on since an instant. It is
+// false when the observations do not reach back to it.
+func (t *Tenure) Within(from units.Instant) ([]roster.Roster, bool) {
+	var list []roster.Roster
+	for i := len(t.seen) - 1; i >= 0; i-- {
+		list = append(list, t.seen[i].roster)
+		if t.seen[i].force && !from.Before(t.seen[i].at) {
+			return list, true
+		}
+	}
+	return list, false
+}
