Share one fleet among the tests that only read

A fleet takes 5 to 10 s to start, because it waits for a roster in force, and each of eleven tests started one. internal/fleet did not end within 100 s.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,7 +6,10 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,22 +22,68 @@
 
 const key = "school-key"
 
-// start runs two daemons in two data centres before one service.
+// shared is the fleet of the tests that change neither settings, nor faults, nor
+// daemons; a fleet of its own costs each test some seconds.
+var shared = sync.OnceValues(build)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if started.Load() {
+		if f, err := shared(); err == nil {
+			f.Close()
+		}
+	}
+	os.Exit(code)
+}
+
+// started is set when a test asked for the shared fleet.
+var started atomic.Bool
+
+// share returns the shared fleet.
+func share(t *testing.T) *fleet.Fleet {
+	t.Helper()
+	started.Store(true)
+	f, err := shared()
+	must.NoError(t, err)
+	return f
+}
+
+// start runs a fleet for one test.
 func start(t *testing.T) *fleet.Fleet {
 	t.Helper()
+	f, err := build()
+	must.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// build runs two daemons in two data centres before one service.
+func build() (*fleet.Fleet, error) {
 	f, err := fleet.New(fleet.Plan{
 		Centres:  []ids.Centre{"north", "south"},
 		Services: []fleet.Service{{ID: "andrade/payments", Targets: 2, Slots: 4, Work: time.Millisecond}},
 	})
-	must.NoError(t, err)
-	t.Cleanup(f.Close)
-	must.NoError(t, f.Edit("teams/root", map[string]string{"credential": string(bearer.HashOf(fleet.RootCredential))}))
-	must.NoError(t, f.Edit("teams/andrade", map[string]string{"credential": string(bearer.HashOf(fleet.CredentialOf("andrade")))}))
-	must.NoError(t, f.Edit("teams/andrade/services/payments", map[string]string{"deadline": "20s"}))
-	must.NoError(t, f.Edit("teams/andrade/routes/deposits", map[string]string{"prefix": "/deposits", "service": "payments"}))
-	must.NoError(t, f.Edit("teams/andrade/accounts/school", map[string]string{"rate": "1000", "burst": "1000"}))
-	must.NoError(t, f.Edit("teams/andrade/keys/one", map[string]string{"hash": string(bearer.HashOf(key)), "account": "school"}))
-	return f
+	if err != nil {
+		return nil, err
+	}
+	edits := []struct {
+		path   ids.Path
+		values map[string]string
+	}{
+		{path: "teams/root", values: map[string]string{"credential": string(bearer.HashOf(fleet.RootCredential))}},
+		{path: "teams/andrade", values: map[string]string{"credential": string(bearer.HashOf(fleet.CredentialOf("andrade")))}},
+		{path: "teams/andrade/services/payments", values: map[string]string{"deadline": "20s"}},
+		{path: "teams/andrade/routes/deposits", values: map[string]string{"prefix": "/deposits", "service": "payments"}},
+		{path: "teams/andrade/accounts/school", values: map[string]string{"rate": "1000", "burst": "1000"}},
+		{path: "teams/andrade/keys/one", values: map[string]string{"hash": string(bearer.HashOf(key)), "account": "school"}},
+	}
+	for _, e := range edits {
+		if err := f.Edit(e.path, e.values); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
 }
 
 func send(t *testing.T, method, url string, body io.Reader, header map[string]string) *http.Response {
@@ -54,7 +103,7 @@
 
 // A request reaches a backend server through either daemon, without its key.
 func TestRequestReachesTarget(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	seen := map[string]bool{}
 	for range 20 {
 		for _, d := range f.Daemons {
@@ -71,7 +120,7 @@
 }
 
 func TestRefusals(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	base := f.Daemons[0].Callers
 	cases := []struct {
 		name   string
@@ -96,7 +145,7 @@
 
 // A large body passes two daemons unchanged, up and down.
 func TestLargeBody(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	const size = 64 << 20
 	body := make([]byte, size)
 	_, err := rand.Read(body)
@@ -115,13 +164,13 @@
 
 // The request target reaches the backend server byte for byte.
 func TestEncodedSlashes(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	resp := send(t, "GET", f.Daemons[0].Callers+"/deposits/a%2Fb//c?x=%20y", nil, auth())
 	must.EqOp(t, "/deposits/a%2Fb//c?x=%20y", resp.Header.Get("Request-Target"))
 }
 
 func TestOversizedHeader(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	resp := send(t, "GET", f.Daemons[0].Callers+"/deposits", nil, map[string]string{"Long": strings.Repeat("x", 1<<20)})
 	must.EqOp(t, http.StatusRequestHeaderFieldsTooLarge, resp.StatusCode)
 }
--- a/internal/fleet/keepalive_test.go
+++ b/internal/fleet/keepalive_test.go
@@ -15,7 +15,7 @@
 // version set a read deadline after each request without a body, which cancelled
 // the next request on the connection.
 func TestKeepAlive(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	var dials atomic.Int32
 	var dialer net.Dialer
 	client := http.Client{Transport: &http.Transport{
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -23,7 +23,7 @@
 // A repeat of a keyed request gets the first answer through either daemon, and the
 // key with another body is refused.
 func TestIdempotencyKey(t *testing.T) {
-	f := start(t)
+	f := share(t)
 	first := f.Daemons[0].Callers
 	var resp *http.Response
 	must.NoError(t, waitFor(t, func() bool {
