Pass over gatekeepers that can't be reached, and note each request's burn

The entry notes in internal/reach whether each hop reached its gatekeeper and passes over the targets behind those to be avoided while there are others. It notes in internal/burn how each request ended: at the end of the answer's body, or with the refusal. What the caller did itself counts as nothing.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/chooser"
 	"balsamwharf.example/balsamwharf/internal/common"
@@ -24,6 +25,7 @@
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/limit"
+	"balsamwharf.example/balsamwharf/internal/reach"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/routetable"
 	"balsamwharf.example/balsamwharf/internal/settings"
@@ -50,6 +52,8 @@
 	tail      *tail.Tail
 	directory *directory.Directory
 	limit     *limit.Limit
+	burn      *burn.Burn
+	reach     reach.Reach
 	guard     *guard.Guard
 	hop       *hop.Hop
 	standing  standing.Standing
@@ -76,7 +80,7 @@
 
 // Needs implements service.Service.
 func (e *Entry) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm", "guard"}
+	return []service.Name{"timer", "tail", "directory", "limit", "hop", "confirm", "guard", "burn"}
 }
 
 // Start implements service.Service.
@@ -94,6 +98,9 @@
 	if e.guard, err = kernel.Find[*guard.Guard](f, "guard"); err != nil {
 		return err
 	}
+	if e.burn, err = kernel.Find[*burn.Burn](f, "burn"); err != nil {
+		return err
+	}
 	if e.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
@@ -124,6 +131,7 @@
 		select {
 		case now := <-sub.C:
 			e.chooser.Forget(now)
+			e.reach.Trim(now)
 			e.services.forget(now)
 		case <-ctx.Done():
 			return
@@ -144,13 +152,19 @@
 
 // Serve runs one request. Its errors carry a verdict.
 func (e *Entry) Serve(ctx context.Context, a Arrival, body io.Reader) (*call.Answer, error) {
-	answer, err := e.serve(ctx, a, body)
+	p := &passage{caller: ctx, began: e.Common.Clock.Now()}
+	answer, err := e.serve(ctx, p, a, body)
 	e.counts.ended(err)
-	return answer, err
+	if err != nil {
+		e.refused(p, err)
+		return nil, err
+	}
+	return e.answered(p, answer), nil
 }
 
-func (e *Entry) serve(ctx context.Context, a Arrival, body io.Reader) (*call.Answer, error) {
+func (e *Entry) serve(ctx context.Context, p *passage, a Arrival, body io.Reader) (*call.Answer, error) {
 	r, rest, err := e.rule(a)
+	p.rules = r
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +180,7 @@
 		cancel()
 		return nil, err
 	}
-	answer, err := e.once(ctx, r, head, body)
+	answer, err := e.once(ctx, p, head, body)
 	if err != nil {
 		cancel()
 		return nil, err
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,17 +16,18 @@
 
 // journey is one request on its way, with the targets that it was sent to.
 type journey struct {
-	head   call.Head
-	body   *replayBody
-	memory *memory
-	tried  map[ids.Target]bool
+	passage *passage
+	head    call.Head
+	body    *replayBody
+	memory  *memory
+	tried   map[ids.Target]bool
 }
 
 // forward tries targets until one answers, a repeat could run the request twice,
 // or the service's retry budget is used up.
-func (e *Entry) forward(ctx context.Context, r rules, head call.Head, replay *replayBody) (*call.Answer, error) {
-	j := &journey{head: head, body: replay, tried: map[ids.Target]bool{}}
-	j.memory = e.services.begin(e.Common.Clock.Now(), head.Service, r.service.Retries)
+func (e *Entry) forward(ctx context.Context, p *passage, head call.Head, replay *replayBody) (*call.Answer, error) {
+	j := &journey{passage: p, head: head, body: replay, tried: map[ids.Target]bool{}}
+	j.memory = e.services.begin(e.Common.Clock.Now(), head.Service, p.service.Retries)
 	for {
 		answer, err := e.attempt(ctx, j)
 		if err == nil {
@@ -68,11 +69,12 @@
 // choose picks a target that was not tried yet.
 func (e *Entry) choose(j *journey) (directory.Candidate, error) {
 	list := e.directory.Targets(j.head.Service)
-	i := e.chooser.Pick(e.rng, e.Common.Clock.Now(), j.head.Service, list, j.tried)
+	i := e.pick(j.head.Service, list, j.tried)
 	if i < 0 {
 		return directory.Candidate{}, verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "no backend server took the request")
 	}
 	j.tried[list[i].ID] = true
+	j.passage.target = list[i].ID
 	return list[i], nil
 }
 
@@ -88,6 +90,7 @@
 	e.chooser.Begin(began, to.ID)
 	answer, err := e.hop.Forward(ctx, to.Daemon, head, j.body.reader())
 	now := e.Common.Clock.Now()
+	e.noteReach(ctx, to.Daemon, answer, err, now)
 	if err != nil {
 		e.chooser.End(to.ID)
 		e.learn(to.ID, answer, err)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -102,8 +102,8 @@
 
 func bodyOf(text string) *replayBody { return &replayBody{kept: []byte(text)} }
 
-func ruleFor(share units.Percent) rules {
-	return rules{service: settings.Service{Retries: share}}
+func ruleFor(share units.Percent) *passage {
+	return &passage{rules: rules{service: settings.Service{Retries: share}}}
 }
 
 func TestRetries(t *testing.T) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -28,14 +28,14 @@
 
 // once forwards a request; one with an idempotency key runs at most once,
 // whichever daemon its repeats reach.
-func (e *Entry) once(ctx context.Context, r rules, head call.Head, body io.Reader) (*call.Answer, error) {
+func (e *Entry) once(ctx context.Context, p *passage, head call.Head, body io.Reader) (*call.Answer, error) {
 	replay, err := newReplayBody(head, body)
 	if err != nil {
 		return nil, err
 	}
 	values := http.Header(head.Header)[keyHeader]
 	if len(values) == 0 || head.Idempotent || head.Account == "" {
-		return e.forward(ctx, r, head, replay)
+		return e.forward(ctx, p, head, replay)
 	}
 	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
 		return nil, verdict.New(verdict.Unrun, http.StatusBadRequest, "the Idempotency-Key header must be one value of 1 to 256 bytes")
@@ -44,7 +44,7 @@
 	attempt, outcome := e.guard.Begin(ctx, key, digest(head, replay))
 	switch o := outcome.(type) {
 	case mark.Fresh:
-		return e.run(ctx, r, head, replay, key, attempt)
+		return e.run(ctx, p, head, replay, key, attempt)
 	case mark.Known:
 		return repeated(o.Answer), nil
 	case mark.Running:
@@ -59,8 +59,8 @@
 }
 
 // run forwards an attempt that was let through and tells the guard how it ended.
-func (e *Entry) run(ctx context.Context, r rules, head call.Head, replay *replayBody, key mark.Key, attempt mark.Attempt) (*call.Answer, error) {
-	answer, err := e.forward(ctx, r, head, replay)
+func (e *Entry) run(ctx context.Context, p *passage, head call.Head, replay *replayBody, key mark.Key, attempt mark.Attempt) (*call.Answer, error) {
+	answer, err := e.forward(ctx, p, head, replay)
 	if err != nil {
 		if verdict.Of(err) == verdict.Unrun {
 			e.guard.Cancel(context.WithoutCancel(ctx), key, attempt)
--- /dev/null
+++ b/internal/entry/reached.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
+)
+
+// noteReach notes whether the gatekeeper was reached. Any answer or refusal of its
+// own shows that it was. A deadline that passed after the request had left may be
+// the target's doing, and a caller that gave up tells nothing.
+func (e *Entry) noteReach(ctx context.Context, to ids.Daemon, answer *call.Answer, err error, now units.Instant) {
+	if to == e.Common.Settings.Identity.Daemon {
+		return
+	}
+	switch {
+	case err == nil, answer != nil:
+		e.reach.Note(to, true, now)
+	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && verdict.Of(err) != verdict.Unrun:
+	default:
+		e.reach.Note(to, false, now)
+	}
+}
+
+// pick draws a target that was not tried yet; one behind a gatekeeper that this
+// daemon can't reach at present only when there is no other.
+func (e *Entry) pick(id ids.Service, list []directory.Candidate, tried map[ids.Target]bool) int {
+	now := e.Common.Clock.Now()
+	if !e.reach.Quiet() {
+		passed := e.passedOver(list, tried, now)
+		if i := e.chooser.Pick(e.rng, now, id, list, passed); i >= 0 {
+			return i
+		}
+	}
+	return e.chooser.Pick(e.rng, now, id, list, tried)
+}
+
+// passedOver adds the targets behind gatekeepers that are to be avoided.
+func (e *Entry) passedOver(list []directory.Candidate, tried map[ids.Target]bool, now units.Instant) map[ids.Target]bool {
+	passed := map[ids.Target]bool{}
+	for _, t := range list {
+		if tried[t.ID] || e.reach.Avoid(t.Daemon, now) {
+			passed[t.ID] = true
+		}
+	}
+	return passed
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -23,6 +23,8 @@
 	tolerated = 1
 	shortest  = 500 * time.Millisecond
 	longest   = 30 * time.Second
+	// remembered is how long the last failure of a gatekeeper counts.
+	remembered = 2 * longest
 )
 
 // Reach holds the outcomes of the last hops. The zero value avoids nobody.
@@ -34,6 +36,7 @@
 // record is a gatekeeper that failed last time.
 type record struct {
 	failures int
+	noted    units.Instant
 	until    units.Instant
 	wait     time.Duration
 }
@@ -62,6 +65,7 @@
 // before it was avoided don't count again.
 func (f *record) fail(now units.Instant) {
 	f.failures++
+	f.noted = now
 	if f.failures <= tolerated || now.Before(f.until) {
 		return
 	}
@@ -99,6 +103,25 @@
 	return rest
 }
 
+// Quiet reports whether no hop failed last time, so that nobody is avoided.
+func (r *Reach) Quiet() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.bad) == 0
+}
+
+// Trim drops the gatekeepers that were not tried again for long, such as those
+// that are gone for good.
+func (r *Reach) Trim(now units.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for d, f := range r.bad {
+		if now.Sub(f.noted) > remembered {
+			delete(r.bad, d)
+		}
+	}
+}
+
 // Forget drops a daemon that is gone for good.
 func (r *Reach) Forget(daemon ids.Daemon) {
 	r.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -43,3 +43,14 @@
 	}
 	must.Eq(t, all, r.Usable(all, 0))
 }
+
+// A failure is forgotten once it is long ago.
+func TestTrim(t *testing.T) {
+	var r reach.Reach
+	must.True(t, r.Quiet())
+	r.Note("a", false, 0)
+	r.Trim(units.Instant(0).Add(time.Minute))
+	must.False(t, r.Quiet())
+	r.Trim(units.Instant(0).Add(time.Minute + 1))
+	must.True(t, r.Quiet())
+}
