--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	certValid    = 24 * time.Hour
 	readyTimeout = 20 * time.Second
 	readyPause   = 20 * time.Millisecond
+	renewPeriod  = 10 * time.Second
 )
 
 // RootCredential is the root credential of every fleet.
@@ -89,6 +91,9 @@
 	sockets  app.Sockets
 	set      settings.Daemon
 	cert     *certs.Certs
+	follower atomic.Pointer[func(net.Conn, http.ConnState)]
+	// renewing ends the renewal of the announcement.
+	renewing context.CancelFunc
 }
 
 // New starts a fleet and waits until every daemon knows every target.
@@ -124,7 +129,9 @@
 	d := &Daemon{ID: id, Centre: f.plan.Centres[i%len(f.plan.Centres)], Service: s.ID, slots: s.Slots}
 	target := ids.Target(fmt.Sprintf("%s-%d", s.ID[len(ids.TeamOf(s.ID))+1:], i+1))
 	d.Standin = &standin.Standin{ID: target, Work: s.Work}
-	d.backend = httptest.NewServer(d.Standin)
+	d.backend = httptest.NewUnstartedServer(d.Standin)
+	d.backend.Config.ConnState = d.follow
+	d.backend.Start()
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -201,6 +208,9 @@
 	if err := d.App.Start(context.Background()); err != nil {
 		return err
 	}
+	var ctx context.Context
+	ctx, d.renewing = context.WithCancel(context.Background())
+	go d.renew(ctx)
 	return d.Announce()
 }
 
@@ -217,7 +227,7 @@
 
 func (d *Daemon) close() {
 	if d.App != nil {
-		_ = d.App.Stop()
+		_ = d.Stop()
 	}
 	if d.backend != nil {
 		d.backend.CloseClientConnections()
