--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -33,6 +33,9 @@
 	// digest sums up the members that have described themselves.
 	digest digest.Digest
 	sorted sorted
+	// changes counts all changes, moves those that change who is reachable.
+	changes uint64
+	moves   uint64
 }
 
 // known is a member as this daemon sees it.
@@ -104,10 +107,35 @@
 	k := known{Member: m, seen: d.now()}
 	d.members[m.Daemon] = k
 	d.index(k)
-	d.sorted = sorted{}
+	d.changed(!ok || old.reachable() != k.reachable())
 	return true
 }
 
+func (k known) reachable() bool { return !k.Gone && !k.lost }
+
+// changed notes a change. The lock is held.
+func (d *Directory) changed(moved bool) {
+	d.sorted = sorted{}
+	d.changes++
+	if moved {
+		d.moves++
+	}
+}
+
+// Changes counts the changes of any member.
+func (d *Directory) Changes() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changes
+}
+
+// Moves counts the changes of which daemons are reachable.
+func (d *Directory) Moves() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.moves
+}
+
 // sum adds a description to the digest or takes it away again. Seeds that have not
 // described themselves do not count.
 func (d *Directory) sum(m member.Member) {
@@ -139,7 +167,7 @@
 	k.lost, k.lostSince = true, d.now()
 	d.members[id] = k
 	d.index(k)
-	d.sorted = sorted{}
+	d.changed(true)
 	return true
 }
 
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -25,11 +26,20 @@
 	return list
 }
 
-// The digest that is kept up to date equals one made from scratch, whatever came
-// and went.
-func TestDigestFollowsMembers(t *testing.T) {
+func names(members []member.Member) []ids.Daemon {
+	var list []ids.Daemon
+	for _, m := range members {
+		list = append(list, m.Daemon)
+	}
+	return list
+}
+
+// The digest that is kept up to date equals one made from scratch, and each
+// change of who is reachable is counted, whatever came and went.
+func TestCountsFollowMembers(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	var d directory.Directory
+	reachable, moves := names(d.Reachable()), d.Moves()
 	for step := range 3000 {
 		m := member.Member{
 			Daemon:      ids.Daemon(fmt.Sprintf("vm%d", rng.IntN(20))),
@@ -46,5 +56,8 @@
 			d.ForgetOld(units.Instant(1) << 62)
 		}
 		must.Eq(t, digest.Of(described(&d)), d.Digest())
+		now := names(d.Reachable())
+		must.True(t, slices.Equal(reachable, now) || d.Moves() > moves)
+		reachable, moves = now, d.Moves()
 	}
 }
--- a/internal/directory/tombstone.go
+++ b/internal/directory/tombstone.go
@@ -43,7 +43,7 @@
 		d.forgotten[id] = tombstone{age: k.Age(), at: now}
 		d.unindex(k)
 		d.sum(k.Member)
-		d.sorted = sorted{}
+		d.changed(k.reachable())
 		delete(d.members, id)
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -57,6 +57,8 @@
 	tasks    map[ids.Daemon]*task
 	suspects map[ids.Daemon]*suspect
 	rng      *rand.Rand
+	// arranged is the count of moves as of the last arrangement; run alone uses it.
+	arranged uint64
 	// joined wakes the arrangement of tasks when a member is new.
 	joined chan struct{}
 }
--- a/internal/gossip/task.go
+++ b/internal/gossip/task.go
@@ -30,8 +30,13 @@
 }
 
 // arrange starts tasks for new peers and ends those of daemons that are no longer
-// peers.
+// peers. The ring stays as it is while the same daemons are reachable.
 func (g *Gossip) arrange(ctx context.Context) {
+	moves := g.directory.Moves()
+	if moves == g.arranged {
+		return
+	}
+	g.arranged = moves
 	var all []ids.Daemon
 	for _, m := range g.directory.Reachable() {
 		all = append(all, m.Daemon)
