--- a/internal/seating/absent.go
+++ b/internal/seating/absent.go
@@ -43,6 +43,16 @@
 	return known && now.Sub(since) >= absentDelay
 }
 
+// settled reports whether time alone makes no further member absent.
+func (w *watch) settled(now units.Instant) bool {
+	for id := range w.since {
+		if !w.absent(id, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // answering asks some daemons at once and returns those that answer.
 func (s *Seating) answering(ctx context.Context, whom []ids.Daemon) map[ids.Daemon]bool {
 	ctx, cancel := s.Common.Clock.Within(ctx, answerTimeout)
--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -60,6 +60,14 @@
 	waiting   bool
 	since     units.Instant
 	base      ids.Offset
+	fits      sight
+}
+
+// sight is what a plan was made from.
+type sight struct {
+	changes uint64
+	base    ids.Offset
+	known   bool
 }
 
 // Name implements service.Service.
@@ -108,13 +116,21 @@
 	}
 }
 
-// step proposes a change when one is needed and this daemon's turn has come.
+// step proposes a change when one is needed and this daemon's turn has come. It
+// plans nothing while the roster fits and no member changes.
 func (s *Seating) step(ctx context.Context, now units.Instant) {
 	newest := s.newest()
 	self, _ := s.confirm.Self()
+	seen := sight{changes: s.directory.Changes(), base: newest.Version, known: true}
 	s.watch.note(s.directory.Missing(), now)
+	if seen == s.fits {
+		return
+	}
 	live := s.live(now)
 	_, needed := seats.Plan(newest, live)
+	if !needed && s.watch.settled(now) {
+		s.fits = seen
+	}
 	if !needed || !s.confirm.Confirmed() || !s.force.InForce(newest.Version) {
 		s.waiting = false
 		return
