--- a/internal/app/view.go
+++ b/internal/app/view.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/invariant"
@@ -31,6 +32,19 @@
 	return t.Wait(ctx, at)
 }
 
+// WaitForce returns once all that the daemon has applied is known to be in force.
+func (a *App) WaitForce(ctx context.Context) error {
+	t, err := kernel.Find[*tail.Tail](&a.kernel, "tail")
+	if err != nil {
+		return err
+	}
+	f, err := kernel.Find[*force.Force](&a.kernel, "force")
+	if err != nil {
+		return err
+	}
+	return f.Wait(ctx, t.Offset())
+}
+
 // Targets returns how many targets of the service this daemon can choose from.
 func (a *App) Targets(id ids.Service) int {
 	d, err := kernel.Find[*directory.Directory](&a.kernel, "directory")
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,101 @@
+// Package bench measures the slopes from which docs/CAPACITY.md is worked out.
+//
+// # Usage
+//
+//	os.Exit(bench.Main(os.Args[1:], os.Stdout, os.Stderr))
+//
+// Everything runs in this process: the daemons' own code, over loopback or over
+// stand-ins for the network. No part needs more than half a minute.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+
+	"balsamwharf.example/balsamwharf/internal/slopes"
+)
+
+// Exit codes of the command.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// fileMode is the mode of the written file.
+const fileMode = 0o644
+
+// options is the command line.
+type options struct {
+	Parts []string `long:"part" description:"Measure only this part; may be repeated" choice:"rest" choice:"memory" choice:"work" choice:"link" choice:"request"`
+	Write string   `long:"write" value-name:"FILE" description:"Write the slopes to this file; parts that were not measured keep what the file has"`
+}
+
+// part is one group of measurements.
+type part struct {
+	name    string
+	measure func(context.Context, *slopes.Slopes) error
+}
+
+func parts() []part {
+	return []part{
+		{"memory", measureMemory},
+		{"work", measureWork},
+		{"link", measureLink},
+		{"request", measureRequest},
+		{"rest", measureRest},
+	}
+}
+
+// Main runs the command and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	var o options
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		return exitUsage
+	}
+	if err := run(context.Background(), o, stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func run(ctx context.Context, o options, stdout io.Writer) error {
+	s, err := before(o.Write)
+	if err != nil {
+		return err
+	}
+	s.Command = "make bench"
+	for _, p := range parts() {
+		if len(o.Parts) > 0 && !slices.Contains(o.Parts, p.name) {
+			continue
+		}
+		fmt.Fprintln(stdout, "measuring", p.name)
+		if err := p.measure(ctx, &s); err != nil {
+			return err
+		}
+	}
+	text, err := s.Text()
+	if err != nil {
+		return err
+	}
+	if o.Write != "" {
+		return os.WriteFile(o.Write, text, fileMode)
+	}
+	_, err = stdout.Write(text)
+	return err
+}
+
+// before returns the slopes that the file has, if there is one.
+func before(file string) (slopes.Slopes, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return slopes.Slopes{}, nil
+	}
+	return slopes.Read(text)
+}
--- /dev/null
+++ b/internal/bench/held.go
@@ -0,0 +1,91 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// state is a stand-in for the services that show the settings.
+type state struct{ *replay.State }
+
+// View implements lender.Viewer.
+func (s state) View(read func(*replay.State)) { read(s.State) }
+
+// sole is a stand-in for the standing of a confirmed daemon that is alone.
+type sole struct{ roster roster.Roster }
+
+// Confirmed implements standing.Standing.
+func (sole) Confirmed() bool { return true }
+
+// Roster implements standing.Standing.
+func (s sole) Roster() roster.Roster { return s.roster }
+
+// Self implements standing.Standing.
+func (s sole) Self() (ids.Daemon, ids.Incarnation) {
+	return s.roster.Entries[0].Daemon, s.roster.Entries[0].Incarnation
+}
+
+// stub gives a stand-in a name in the kernel.
+type stub struct{ name service.Name }
+
+// Name implements service.Service.
+func (s stub) Name() service.Name { return s.name }
+
+// Needs implements service.Service.
+func (stub) Needs() []service.Name { return nil }
+
+// Start implements service.Service.
+func (stub) Start(context.Context, service.Finder) error { return nil }
+
+// Stop implements service.Service.
+func (stub) Stop(context.Context) error { return nil }
+
+// heldSize is the memory of one account's share at its holder.
+func heldSize() (float64, error) {
+	viewer := struct {
+		stub
+		state
+	}{stub{"tail"}, state{stateOf(sections, settings.KindAccount, func(int) map[string]string {
+		return map[string]string{"rate": "10", "burst": "20"}
+	})}}
+	stands := struct {
+		stub
+		sole
+	}{stub{"confirm"}, sole{roster.Roster{Version: 1, Entries: []roster.Entry{{Daemon: "vm1", Incarnation: 1, Centre: "one"}}}}}
+	c := common.Discard()
+	l := &lender.Lender{Common: c}
+	var k kernel.Kernel
+	for _, s := range []service.Service{c.Clock, viewer, stands, l} {
+		k.Add(s)
+	}
+	if err := k.Start(context.Background()); err != nil {
+		return 0, err
+	}
+	defer func() { _ = k.Stop(time.Second) }()
+	const accounts = 4000
+	size := grown(func() any {
+		for i := range accounts {
+			ask(l, i)
+		}
+		return l
+	})
+	return size / float64(max(1, l.Slots())), nil
+}
+
+// ask borrows tokens of an account, as an entry daemon does.
+func ask(l *lender.Lender, i int) {
+	m := message.Borrow{Account: ids.AccountOf(team, fmt.Sprintf("section-%05d", i))}
+	m.Question.Borrower.Daemon = "vm2"
+	l.Lend("vm2", m)
+}
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -25,6 +25,9 @@
 	return d.tell(http.MethodPut, body)
 }
 
+// Backend returns the base URL of the daemon's backend server.
+func (d *Daemon) Backend() string { return d.backend.URL }
+
 // Leave drains the daemon's backend server.
 func (d *Daemon) Leave() error { return d.tell(http.MethodDelete, nil) }
 
