Find the holders of a thing without maps

Cause: for each thing a map of data centres was asked twice for every daemon. A test compares the result with plain sorting.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -9,11 +9,7 @@
 package share
 
 import (
-	"maps"
-	"slices"
-
 	"balsamwharf.example/balsamwharf/internal/ids"
-	"balsamwharf.example/balsamwharf/internal/rendezvous"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -54,27 +50,3 @@
 
 // Thing names an account for Spread.
 func Thing(id ids.Account) string { return "account/" + string(id) }
-
-// Spread returns up to n daemons for a thing, by rendezvous hashing: first the
-// best daemon of each data centre, then the best of the rest.
-func Spread(thing string, r roster.Roster, n int) []ids.Daemon {
-	best := map[ids.Centre]ids.Daemon{}
-	weights := map[ids.Centre]uint64{}
-	t := rendezvous.ThingOf(thing)
-	for _, e := range r.Entries {
-		w := t.Weight(e.Daemon)
-		if old, ok := best[e.Centre]; !ok || w > weights[e.Centre] || (w == weights[e.Centre] && e.Daemon < old) {
-			best[e.Centre], weights[e.Centre] = e.Daemon, w
-		}
-	}
-	picked := rendezvous.Top(thing, slices.Collect(maps.Values(best)), n)
-	if len(picked) == n || len(picked) == len(r.Entries) {
-		return picked
-	}
-	for _, d := range rendezvous.Top(thing, r.Daemons(), len(r.Entries)) {
-		if len(picked) < n && !slices.Contains(picked, d) {
-			picked = append(picked, d)
-		}
-	}
-	return picked
-}
--- /dev/null
+++ b/internal/share/spread_test.go
@@ -0,0 +1,64 @@
+package share_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/share"
+)
+
+// plain sorts all daemons: the best of each data centre, then the rest.
+func plain(thing string, r roster.Roster, n int) []ids.Daemon {
+	order := rendezvous.Top(thing, r.Daemons(), len(r.Entries))
+	best := map[ids.Centre]ids.Daemon{}
+	for _, d := range order {
+		e, _ := r.Find(d)
+		if _, ok := best[e.Centre]; !ok {
+			best[e.Centre] = d
+		}
+	}
+	picked := rendezvous.Top(thing, slices.Collect(maps.Values(best)), n)
+	for _, d := range order {
+		if len(picked) < n && !slices.Contains(picked, d) {
+			picked = append(picked, d)
+		}
+	}
+	return picked
+}
+
+func rosterOf(daemons, centres int) roster.Roster {
+	var r roster.Roster
+	for i := range daemons {
+		r.Entries = append(r.Entries, roster.Entry{
+			Daemon: ids.Daemon(fmt.Sprintf("vm%05d", i)),
+			Centre: ids.Centre(fmt.Sprintf("c%d", i%centres)),
+		})
+	}
+	return r
+}
+
+// Spread picks what sorting everything would pick.
+func TestSpreadEqualsSorting(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range 500 {
+		r := rosterOf(rng.IntN(40), 1+rng.IntN(6))
+		n := 1 + rng.IntN(8)
+		thing := fmt.Sprint("thing", i)
+		must.Eq(t, plain(thing, r, n), share.Spread(thing, r, n))
+	}
+}
+
+func BenchmarkSpread(b *testing.B) {
+	r := rosterOf(2000, 13)
+	for i := range b.N {
+		share.Spread(fmt.Sprint("account/", i), r, 2)
+	}
+}
