--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -44,10 +44,10 @@
 
 func parts() []part {
 	return []part{
+		{"request", measureRequest},
 		{"memory", measureMemory},
 		{"work", measureWork},
 		{"link", measureLink},
-		{"request", measureRequest},
 		{"rest", measureRest},
 	}
 }
--- /dev/null
+++ b/internal/lender/lender_test.go
@@ -0,0 +1,157 @@
+package lender_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/record"
+	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// fixed stands in for a service and shows fixed settings and a given roster.
+type fixed struct {
+	name   service.Name
+	state  *replay.State
+	roster *atomic.Pointer[roster.Roster]
+}
+
+func (f fixed) Name() service.Name                          { return f.name }
+func (f fixed) Needs() []service.Name                       { return nil }
+func (f fixed) Start(context.Context, service.Finder) error { return nil }
+func (f fixed) Stop(context.Context) error                  { return nil }
+func (f fixed) View(read func(*replay.State))               { read(f.state) }
+func (f fixed) Confirmed() bool                             { return true }
+func (f fixed) Roster() roster.Roster                       { return *f.roster.Load() }
+func (f fixed) Self() (ids.Daemon, ids.Incarnation)         { return "vm00000", 1 }
+
+// next returns the roster with another incarnation of one daemon.
+func next(r roster.Roster, i int) roster.Roster {
+	n := roster.Roster{Version: r.Version + 1, Entries: append([]roster.Entry(nil), r.Entries...)}
+	n.Entries[i].Incarnation++
+	return n
+}
+
+func rosterOf(daemons int) roster.Roster {
+	r := roster.Roster{Version: 1}
+	for i := range daemons {
+		r.Entries = append(r.Entries, roster.Entry{
+			Daemon: ids.Daemon(fmt.Sprintf("vm%05d", i)), Incarnation: 1, Centre: ids.Centre(fmt.Sprintf("c%d", i%13)),
+		})
+	}
+	return r
+}
+
+func accounts(n int) *replay.State {
+	state := &replay.State{}
+	apply := func(path ids.Path, credential string, values map[string]string) {
+		at := state.Offset() + 1
+		state.Apply(at, record.Edit{ID: ids.Edit(fmt.Sprint(at)), Path: path, Credential: bearer.HashOf(credential), Values: values})
+	}
+	apply("teams/root", "root", map[string]string{"credential": string(bearer.HashOf("root"))})
+	apply("teams/school", "root", map[string]string{"credential": string(bearer.HashOf("team"))})
+	for i := range n {
+		apply(settings.PathOf("school", settings.KindAccount, fmt.Sprint("a", i)), "team", map[string]string{"rate": "10", "burst": "20"})
+	}
+	return state
+}
+
+// world is a lender with its stand-ins.
+type world struct {
+	lender *lender.Lender
+	roster *atomic.Pointer[roster.Roster]
+}
+
+// replace brings another incarnation of one daemon in force.
+func (w world) replace(i int) {
+	r := next(*w.roster.Load(), i)
+	w.roster.Store(&r)
+}
+
+func start(tb testing.TB, daemons, count int) world {
+	tb.Helper()
+	r := rosterOf(daemons)
+	w := world{roster: &atomic.Pointer[roster.Roster]{}}
+	w.roster.Store(&r)
+	c := common.Discard()
+	w.lender = &lender.Lender{Common: c}
+	f := fixed{state: accounts(count), roster: w.roster}
+	k := &kernel.Kernel{}
+	tailed, confirmed := f, f
+	tailed.name, confirmed.name = "tail", "confirm"
+	for _, s := range []service.Service{c.Clock, tailed, confirmed, w.lender} {
+		k.Add(s)
+	}
+	must.NoError(tb, k.Start(tb.Context()))
+	tb.Cleanup(func() { _ = k.Stop(time.Second) })
+	return w
+}
+
+// ask borrows of accounts and returns those that this daemon holds.
+func (w world) ask(numbers []int) []int {
+	var held []int
+	for _, i := range numbers {
+		m := message.Borrow{Account: ids.AccountOf("school", fmt.Sprint("a", i))}
+		m.Question.Borrower.Daemon = "vm00001"
+		if w.lender.Lend("vm00001", m).Holds {
+			held = append(held, i)
+		}
+	}
+	return held
+}
+
+// numbers counts from 0.
+func numbers(n int) []int {
+	var list []int
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
+
+// A change of other daemons leaves the shares where they are.
+func TestSharesStayThroughRosters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const count = 200
+		w := start(t, 13, count)
+		held := w.ask(numbers(count))
+		must.SliceNotEmpty(t, held)
+		for i := range 12 {
+			w.replace(1 + i)
+			time.Sleep(200 * time.Millisecond)
+			must.Eq(t, held, w.ask(numbers(count)))
+		}
+	})
+}
+
+// BenchmarkRoster is one change of a roster of 2,000 daemons, followed by a
+// question about each account that this daemon holds.
+func BenchmarkRoster(b *testing.B) {
+	const count = 10000
+	w := start(b, 2000, count)
+	held := w.ask(numbers(count))
+	for i := range 10 {
+		w.replace(1 + i)
+		w.ask(held)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		w.replace(20 + i%1000)
+		w.ask(held)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*max(1, len(held))), "µs/held")
+}
