--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Backend returns the base URL of the daemon's backend server.
+func (d *Daemon) Backend() string { return d.backend.URL }
+
 // Leave drains the daemon's backend server.
 func (d *Daemon) Leave() error {
 	d.renewing()
