--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -83,9 +83,8 @@
 // Stop stops the daemon gracefully.
 func (d *Daemon) Stop() error {
 	d.renewing()
-	err := d.App.Stop()
-	d.App = nil
-	return err
+	d.stopped = true
+	return d.App.Stop()
 }
 
 // Restart stops a daemon gracefully and starts it again at the same addresses, as
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,7 @@
 	// Operators is the base URL for operators.
 	Operators string
 
+	stopped  bool
 	announce string
 	slots    units.Slots
 	backend  *httptest.Server
@@ -205,6 +206,7 @@
 		Logger:   f.plan.Logger.With(zap.String("daemon", string(d.ID))),
 		Sockets:  d.sockets,
 	}
+	d.stopped = false
 	if err := d.App.Start(context.Background()); err != nil {
 		return err
 	}
@@ -226,7 +228,7 @@
 }
 
 func (d *Daemon) close() {
-	if d.App != nil {
+	if d.App != nil && !d.stopped {
 		_ = d.Stop()
 	}
 	if d.backend != nil {
