--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -215,9 +215,14 @@
 	f.server.Close()
 }
 
+// close ends everything of the daemon. Its App stays, since its figures can be read
+// after the end.
 func (d *Daemon) close() {
+	if d.renewing != nil {
+		d.renewing()
+	}
 	if d.App != nil {
-		_ = d.Stop()
+		_ = d.App.Stop()
 	}
 	if d.backend != nil {
 		d.backend.CloseClientConnections()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -105,6 +105,8 @@
 	case Slow:
 		work = time.Duration(float64(work) * f.Factor)
 	case Hangs:
+		// net/http notices that the caller went away only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case Holds:
