Count the streams of other daemons without a race at the end

Stop waited on a WaitGroup while the peers' tasks added to it, which the race detector reported under TestEjectAndReadmit. The streams are counted by inflight.Inflight now. Those that open after Stop began are served until the socket closes, but Stop does not wait for them; requests among them are refused as unrun by the request's own count.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,7 +48,7 @@
 
 	dispatch *dispatch.Dispatch
 	listener *quic.Listener
-	streams  sync.WaitGroup
+	streams  inflight.Inflight
 	requests inflight.Inflight
 	served   atomic.Bool
 }
@@ -79,19 +78,12 @@
 	return nil
 }
 
-// Stop waits for the streams in progress and closes the listener.
+// Stop waits for the streams in progress and closes the listener. Streams that open
+// meanwhile are served, but not waited for, so that Stop comes to an end.
 func (a *Accept) Stop(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		a.streams.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-	err := a.listener.Close()
-	return errors.Join(err, a.Socket.Close())
+	a.streams.Close()
+	late := a.streams.Wait(ctx)
+	return errors.Join(late, a.listener.Close(), a.Socket.Close())
 }
 
 // Wait refuses new requests and returns when those in progress have ended and
@@ -131,14 +123,18 @@
 		if err != nil {
 			return
 		}
-		a.streams.Add(1)
-		go a.exchange(ctx, from, stream)
+		counted := a.streams.Begin()
+		go func() {
+			a.exchange(ctx, from, stream)
+			if counted {
+				a.streams.End()
+			}
+		}()
 	}
 }
 
 // exchange is the task of one stream: a message, its reply and their bodies.
 func (a *Accept) exchange(ctx context.Context, from ids.Daemon, stream *quic.Stream) {
-	defer a.streams.Done()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(stream.Context(), cancel)
