--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -227,6 +227,8 @@
 	f.server.Close()
 }
 
+// close ends everything of the daemon. Its App stays, since its figures can be read
+// after the end.
 func (d *Daemon) close() {
 	if d.App != nil && !d.stopped {
 		_ = d.Stop()
