Keep the offsets at which a section was made and its account was last split

A holder can know from them that no other daemon held an account's share before, and a change of rate or burst can be told from a change of the number of holders. A section that was removed within the remembered edits and made again has no known start, since earlier holders may still act on it.

--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -51,6 +51,8 @@
 	// edit met.
 	At     ids.Offset
 	Reason string
+	// Removed is the path whose section the edit removed.
+	Removed ids.Path
 }
 
 // Unreadable stands for a record that this daemon can't decode, or that a relay
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -40,5 +40,8 @@
 type Section struct {
 	Path    ids.Path
 	Version ids.Offset
+	// Created and Split are those of replay.Entry.
+	Created ids.Offset
+	Split   ids.Offset
 	Values  map[string]string
 }
--- a/internal/replay/digest.go
+++ b/internal/replay/digest.go
@@ -26,6 +26,8 @@
 	h.Reset()
 	write(&h, string(path))
 	writeOffset(&h, e.Version)
+	writeOffset(&h, e.Created)
+	writeOffset(&h, e.Split)
 	values := settings.Values(e.Section)
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		write(&h, name, values[name])
--- a/internal/replay/frozen.go
+++ b/internal/replay/frozen.go
@@ -67,7 +67,14 @@
 	}
 	from := i * record.PartSections
 	for _, p := range f.places[from:min(from+record.PartSections, len(f.places))] {
-		part.Sections = append(part.Sections, record.Section{Path: p.path, Version: p.entry.Version, Values: p.entry.Values()})
+		part.Sections = append(part.Sections, sectionOf(p))
 	}
 	return part, true
 }
+
+func sectionOf(p frozenPlace) record.Section {
+	return record.Section{
+		Path: p.path, Version: p.entry.Version, Created: p.entry.Created, Split: p.entry.Split,
+		Values: p.entry.Values(),
+	}
+}
--- a/internal/replay/memory.go
+++ b/internal/replay/memory.go
@@ -13,9 +13,11 @@
 // memory keeps the outcomes of the latest edits. It is bounded by the order of
 // the records, so that all daemons forget the same ones.
 type memory struct {
-	byID   map[ids.Edit]record.Remembered
-	ring   []ids.Edit
-	next   int
+	byID map[ids.Edit]record.Remembered
+	ring []ids.Edit
+	next int
+	// gone counts the remembered removals of each path.
+	gone   map[ids.Path]int
 	digest Digest
 }
 
@@ -27,13 +29,30 @@
 	return outcomeOf(r), true
 }
 
-func (m *memory) add(id ids.Edit, out Outcome) {
-	r, ok := rememberedOf(id, out)
+func (m *memory) add(e record.Edit, out Outcome) {
+	r, ok := rememberedOf(e, out)
 	if ok {
 		m.keep(r)
 	}
 }
 
+// removed reports whether a section at the path was removed lately.
+func (m *memory) removed(path ids.Path) bool { return m.gone[path] > 0 }
+
+// count notes that a removal is remembered, or no longer.
+func (m *memory) count(path ids.Path, by int) {
+	if path == "" {
+		return
+	}
+	if m.gone == nil {
+		m.gone = map[ids.Path]int{}
+	}
+	m.gone[path] += by
+	if m.gone[path] == 0 {
+		delete(m.gone, path)
+	}
+}
+
 // keep stores r and forgets the oldest edit when the memory is full.
 func (m *memory) keep(r record.Remembered) {
 	if m.byID == nil {
@@ -44,11 +63,13 @@
 	} else {
 		oldest := m.byID[m.ring[m.next]]
 		m.digest -= digestOfEdit(oldest)
+		m.count(oldest.Removed, -1)
 		delete(m.byID, oldest.ID)
 		m.ring[m.next] = r.ID
 		m.next = (m.next + 1) % recentEdits
 	}
 	m.byID[r.ID] = r
+	m.count(r.Removed, 1)
 	m.digest += digestOfEdit(r)
 }
 
@@ -64,17 +85,20 @@
 func digestOfEdit(r record.Remembered) Digest {
 	var h xxhash.Digest
 	h.Reset()
-	write(&h, string(r.ID), string(r.Result), r.Reason)
+	write(&h, string(r.ID), string(r.Result), r.Reason, string(r.Removed))
 	writeOffset(&h, r.At)
 	return Digest(h.Sum64())
 }
 
 // rememberedOf is false for outcomes that are not an edit's own.
-func rememberedOf(id ids.Edit, out Outcome) (record.Remembered, bool) {
-	r := record.Remembered{ID: id}
+func rememberedOf(e record.Edit, out Outcome) (record.Remembered, bool) {
+	r := record.Remembered{ID: e.ID}
 	switch o := out.(type) {
 	case Accepted:
 		r.Result, r.At = record.Accepted, o.Version
+		if e.Remove {
+			r.Removed = e.Path
+		}
 	case Conflict:
 		r.Result, r.At = record.Conflict, o.Current
 	case Denied:
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -23,6 +23,7 @@
 	"balsamwharf.example/balsamwharf/internal/record"
 	"balsamwharf.example/balsamwharf/internal/routetable"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/share"
 )
 
 // RootTeam may edit every team's own section. The first edit of its section
@@ -33,6 +34,13 @@
 type Entry struct {
 	Section settings.Section
 	Version ids.Offset
+	// Created is the offset that made the section; later edits keep it. It is zero
+	// when a section at the path was removed not long before.
+	Created ids.Offset
+	// Split is the offset since which the limits of a client account have been
+	// split over the same number of holders. For other sections it is that of the
+	// first edit.
+	Split ids.Offset
 }
 
 // Values returns the names of the section that differ from their defaults.
@@ -113,19 +121,45 @@
 	}
 	section, out := s.rule(at, e)
 	if _, ok := out.(Accepted); ok {
-		s.put(at, e.Path, section)
+		s.put(e.Path, s.next(at, e.Path, section))
 	}
-	s.memory.add(e.ID, out)
+	s.memory.add(e, out)
 	return out
 }
 
-// put stores a section, or removes it when section is nil.
-func (s *State) put(at ids.Offset, path ids.Path, section settings.Section) {
+// next returns the entry that an accepted edit leaves at a path.
+func (s *State) next(at ids.Offset, path ids.Path, section settings.Section) Entry {
+	entry := Entry{Section: section, Version: at, Created: at, Split: at}
+	old, ok := s.sections[path]
+	if !ok {
+		if s.memory.removed(path) {
+			entry.Created = 0
+		}
+		return entry
+	}
+	entry.Created = old.Created
+	if holders(old.Section) == holders(section) {
+		entry.Split = old.Split
+	}
+	return entry
+}
+
+// holders returns over how many holders a section's limits are split.
+func holders(section settings.Section) int {
+	a, ok := section.(settings.Account)
+	if !ok {
+		return 0
+	}
+	return share.Count(a)
+}
+
+// put stores an entry, or removes it when it has no section.
+func (s *State) put(path ids.Path, entry Entry) {
 	s.drop(path)
+	section := entry.Section
 	if section == nil {
 		return
 	}
-	entry := Entry{Section: section, Version: at}
 	s.sections[path] = entry
 	s.digest += digestOf(path, entry)
 	team := settings.TeamOf(path)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -261,3 +261,47 @@
 	_, known = s.Outcome("903")
 	must.False(t, known)
 }
+
+// A section keeps the offset that made it over edits, and the offset since which
+// its account has had the same number of holders; both survive a snapshot.
+func TestCreatedAndSplit(t *testing.T) {
+	const school ids.Path = "teams/andrade/accounts/school"
+	limits := func(rate, burst string) values { return values{"rate": rate, "burst": burst} }
+	steps := []struct {
+		name    string
+		edit    record.Edit
+		created ids.Offset
+		split   ids.Offset
+	}{
+		{"made", edit("a", school, 0, limits("10", "20")), 3, 3},
+		{"other rate", edit("b", school, 3, limits("20", "20")), 3, 3},
+		{"other number of holders", edit("c", school, 4, limits("20", "2")), 3, 5},
+		{"and back", edit("d", school, 5, limits("20", "20")), 3, 6},
+		{"removed", remove("e", school, 6), 0, 0},
+		{"made again", edit("f", school, 0, limits("10", "20")), 0, 8},
+		{"changed after that", edit("g", school, 8, limits("11", "20")), 0, 8},
+	}
+	var s replay.State
+	apply(&s, start()...)
+	for _, step := range steps {
+		out := apply(&s, step.edit)
+		must.Eq[replay.Outcome](t, replay.Accepted{Version: s.Offset()}, out, must.Sprint(step.name))
+		for _, one := range []*replay.State{&s, reload(t, &s)} {
+			e, _ := one.Get(school)
+			must.EqOp(t, step.created, e.Created, must.Sprint(step.name))
+			must.EqOp(t, step.split, e.Split, must.Sprint(step.name))
+		}
+	}
+}
+
+// reload loads a state from its own snapshot.
+func reload(t *testing.T, s *replay.State) *replay.State {
+	t.Helper()
+	var l replay.Loader
+	part, ok := s.Freeze().Part(0)
+	must.True(t, ok)
+	loaded, err := l.Add(part)
+	must.NoError(t, err)
+	must.EqOp(t, s.Digest(), loaded.Digest())
+	return loaded
+}
