Hand the balance of a share over, and start a new account full

A new holder's share was empty for 1.01 s and then filled from nothing, so each restart of a daemon refused requests of accounts that were within their rate. A new or edited account found its shares empty for 5 s.

A holder that reads a roster which names another one lets go and hands the balance on; a daemon that stops hands over all it holds, to a daemon that passes it on once a roster names the successor. internal/succession finds it from the rosters of the log, internal/trust keeps the balance meanwhile. A share is full at once when the log shows that nobody can have held it before. A new number of holders counts once the edit is in force: until then, a daemon confirmed by witnesses that have not read the edit may still lend by the old number, so a fixed wait was not enough.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -94,6 +94,8 @@
 		return d.gossip.Hear(m), nil
 	case message.Borrow:
 		return d.lender.Lend(from, m), nil
+	case message.Handover:
+		return d.lender.Take(m), nil
 	case message.GuardBegin:
 		return d.guard.Began(ctx, m), nil
 	case message.GuardLook:
--- a/internal/holding/holding.go
+++ b/internal/holding/holding.go
@@ -86,6 +86,25 @@
 	h.marked = start
 }
 
+// Inherit starts the holding with the balance that an earlier holder let go at an
+// instant. Until one lifetime after it, borrowers may still spend what was out.
+func (h *Holding) Inherit(start units.Instant, balance, out units.Tokens, rate units.Rate, burst units.Tokens) {
+	h.Begin(start, balance, rate, burst)
+	if out <= 0 {
+		return
+	}
+	h.out = min(out, burst)
+	h.grants = []grant{{amount: h.out, ends: start.Add(h.Lifetime)}}
+	h.cap(start)
+}
+
+// Leave returns the balance and what is out, for the next holder. The holding
+// must not be used any more.
+func (h *Holding) Leave(now units.Instant) (balance, out units.Tokens) {
+	h.advance(now)
+	return h.bucket.Balance(now), h.out
+}
+
 // Resize applies changed limits from an instant on.
 func (h *Holding) Resize(now units.Instant, rate units.Rate, burst units.Tokens) {
 	if rate == h.rate && burst == h.burst {
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -6,8 +6,9 @@
 //	lent := l.Lend(from, message.Borrow{Account: id, Question: q})
 //
 // A share is lent from only while this daemon is confirmed and its incarnation is
-// in the roster in force. A new holder's share is empty until nobody can spend
-// tokens of an earlier holder any more.
+// in the roster in force. A new holder's share starts with the balance that the
+// earlier holder handed over, or empty once nobody can spend tokens of an earlier
+// holder any more.
 package lender
 
 import (
@@ -19,17 +20,17 @@
 	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/evidence"
-	"balsamwharf.example/balsamwharf/internal/holding"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lru"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tenure"
+	"balsamwharf.example/balsamwharf/internal/trust"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
@@ -45,17 +46,19 @@
 	// pause in it that leaves the shares valid.
 	observe    = 100 * time.Millisecond
 	observeGap = 500 * time.Millisecond
+	// batchWait is how long after a holder let go its borrowers may spend.
+	batchWait = Lifetime + margin
 	// seatWait is how long a new holder's share stays empty after its roster is in
 	// force: until the batches of the earlier holder have ended, and so long that a
 	// holder that missed the roster does not go on.
-	seatWait = observeGap + Lifetime + margin
-	// Settle is how long a share stays empty after a change of settings that may
-	// have changed the number of holders. Others may act on the earlier settings
-	// for one more Period, and may miss a change within another.
-	Settle = 2*evidence.Period + seatWait
+	seatWait = observeGap + batchWait
+	// keep is how long an unused share stays in memory.
+	keep = 10 * time.Second
 
 	rememberedRosters = 8
 	cachedShares      = 4096
+	trustedNotes      = 16384
+	trustTime         = 2 * time.Minute
 )
 
 // Viewer shows the shared settings; package tail implements it.
@@ -63,29 +66,37 @@
 	View(read func(*replay.State))
 }
 
+// Forcer tells which records are in force; package force implements it.
+type Forcer interface {
+	Newest() ids.Offset
+}
+
 // Lender keeps the shares that this daemon holds and that were used lately.
 type Lender struct {
 	Common *common.Common
 
 	standing standing.Standing
 	viewer   Viewer
+	forcer   Forcer
+	peers    peer.Caller
+	ctx      context.Context
 	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
 
 	mu      sync.Mutex
+	stopped bool
 	tenure  tenure.Tenure
-	applied applied
+	forced  forced
 	slots   map[ids.Account]*slot
 	shares  lru.Cache[shareKey, seat]
-}
-
-// slot is one share in use.
-type slot struct {
-	holding holding.Holding
-	holders []ids.Daemon
-	askers  askers
-	// version is the limits' version, as of checked.
-	version ids.Offset
-	checked units.Instant
+	trust   trust.Trust
+	// taken holds the roster under which each account's balance was taken over.
+	taken map[ids.Account]ids.Offset
+	// read is the newest roster read.
+	read ids.Offset
+	// dropped is the settings' offset when a share was last dropped before it was
+	// full.
+	dropped ids.Offset
 }
 
 // seat is an account's share under the newest roster, and since when this daemon
@@ -106,7 +117,9 @@
 func (l *Lender) Name() service.Name { return "lender" }
 
 // Needs implements service.Service.
-func (l *Lender) Needs() []service.Name { return []service.Name{"timer", "tail", "confirm"} }
+func (l *Lender) Needs() []service.Name {
+	return []service.Name{"timer", "tail", "confirm", "force", "dial"}
+}
 
 // Start implements service.Service.
 func (l *Lender) Start(ctx context.Context, f service.Finder) error {
@@ -117,29 +130,39 @@
 	if l.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
+	if l.forcer, err = kernel.Find[Forcer](f, "force"); err != nil {
+		return err
+	}
+	if l.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
 	l.tenure = tenure.Tenure{Gap: observeGap, Limit: rememberedRosters}
 	l.slots = map[ids.Account]*slot{}
 	l.shares = lru.Cache[shareKey, seat]{Limit: cachedShares}
-	ctx, l.cancel = context.WithCancel(ctx)
-	go l.run(ctx)
+	l.trust = trust.Trust{Limit: trustedNotes, Keep: trustTime}
+	l.taken = map[ids.Account]ids.Offset{}
+	l.ctx, l.cancel = context.WithCancel(ctx)
+	l.tasks.Go(l.run)
 	return nil
 }
 
-// Stop implements service.Service.
-func (l *Lender) Stop(context.Context) error {
+// Stop hands all balances over and ends the tasks.
+func (l *Lender) Stop(ctx context.Context) error {
+	l.sendAll(ctx, l.leave())
 	l.cancel()
+	l.tasks.Wait()
 	return nil
 }
 
 // run observes the roster and drops shares that are full and unused.
-func (l *Lender) run(ctx context.Context) {
+func (l *Lender) run() {
 	tick := l.Common.Clock.Every(observe)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
 			l.step()
-		case <-ctx.Done():
+		case <-l.ctx.Done():
 			return
 		}
 	}
@@ -153,9 +176,9 @@
 	if !ok {
 		return
 	}
-	for id := range l.slots {
+	for id, old := range l.slots {
 		s, ok := l.slot(now, id, r)
-		if ok && s.holding.Idle(now) {
+		if ok && s == old && now.Sub(s.used) > keep && s.holding.Idle(now) && l.refills(now, id, r) {
 			delete(l.slots, id)
 		}
 	}
@@ -163,40 +186,33 @@
 
 // seat observes the roster and reports whether this daemon may hold anything.
 func (l *Lender) seat(now units.Instant) (roster.Roster, bool) {
-	if !l.standing.Confirmed() {
+	if l.stopped || !l.standing.Confirmed() {
 		return roster.Roster{}, false
 	}
-	var at ids.Offset
-	l.viewer.View(func(s *replay.State) { at = s.Offset() })
-	l.applied.observe(now, at)
+	l.forced.observe(now, l.forcer.Newest())
 	r := l.standing.Roster()
 	if len(r.Entries) == 0 {
 		return r, false
 	}
+	all := r.All()
+	newest := all[len(all)-1].Version
 	switch l.tenure.Observe(now, r) {
 	case tenure.Same:
 	case tenure.Next:
 		l.shares.Clear()
-		for _, one := range r.All() {
-			l.release(one)
+		for _, one := range all {
+			l.release(now, one)
 		}
+		l.route(now, l.trust.All(now))
+		l.prune()
 	case tenure.Broken:
 		l.shares.Clear()
-		clear(l.slots)
-	}
-	return r, l.named(r)
-}
-
-// release drops the shares that a new roster gives to others or splits otherwise.
-func (l *Lender) release(r roster.Roster) {
-	for id, s := range l.slots {
-		holders := share.Spread(share.Thing(id), r, len(s.holders))
-		if !l.holds(r, holders) || len(holders) != len(s.holders) {
-			delete(l.slots, id)
-			continue
+		for id := range l.slots {
+			l.drop(id)
 		}
-		s.holders = holders
 	}
+	l.read = newest
+	return r, l.named(r)
 }
 
 // named reports whether the roster names this run of the daemon.
@@ -227,6 +243,10 @@
 	if !ok {
 		return message.Lent{}
 	}
+	if s == nil {
+		return message.Lent{Holds: true, Wait: observe}
+	}
+	s.used = now
 	amount := s.holding.Lend(now, m.Question)
 	l.Common.Invariant.Check(s.holding.Bounded(), "a holder lends no more than its share", zap.String("account", string(m.Account)))
 	short := amount < m.Question.Need
@@ -234,69 +254,6 @@
 	return message.Lent{Holds: true, Amount: amount, Wait: s.askers.wait(s.holding.Wait(now, units.Token))}
 }
 
-// slot returns the share of an account, if this daemon holds one.
-func (l *Lender) slot(now units.Instant, id ids.Account, r roster.Roster) (*slot, bool) {
-	limits, version, ok := l.limits(id)
-	if !ok {
-		return nil, false
-	}
-	key := shareKey{account: id, limits: limits}
-	own := l.shares.Get(key, func() seat { return l.seatOf(id, limits, r) })
-	if !own.held {
-		delete(l.slots, id)
-		return nil, false
-	}
-	sh := own.share
-	s, ok := l.slots[id]
-	if ok && s.follows(now, version, len(sh.Holders)) {
-		s.version, s.checked = version, now
-		s.holding.Resize(now, sh.Rate, sh.Burst)
-		return s, true
-	}
-	start := now.Add(Settle)
-	if !ok {
-		start = max(own.since.Add(seatWait), l.applied.since(now, version).Add(Settle))
-	}
-	s = &slot{holders: sh.Holders, version: version, checked: now}
-	s.holding.Lifetime = Lifetime + margin
-	s.holding.Begin(start, 0, sh.Rate, sh.Burst)
-	l.slots[id] = s
-	return s, true
-}
-
-// follows reports whether the slot can go on under the version of the limits:
-// the number of holders is the same and was not another one meanwhile.
-func (s *slot) follows(now units.Instant, version ids.Offset, holders int) bool {
-	if len(s.holders) != holders {
-		return false
-	}
-	return s.version == version || now.Sub(s.checked) <= observeGap
-}
-
-// seatOf finds an account's share and since when this daemon has held it.
-func (l *Lender) seatOf(id ids.Account, limits settings.Account, r roster.Roster) seat {
-	own := seat{share: share.Of(id, limits, r)}
-	own.since, own.held = l.tenure.Since(func(one roster.Roster) bool {
-		holders := share.Of(id, limits, one).Holders
-		return len(holders) == len(own.share.Holders) && l.holds(one, holders)
-	})
-	return own
-}
-
-// limits returns an account's settings and the offset that set them.
-func (l *Lender) limits(id ids.Account) (settings.Account, ids.Offset, bool) {
-	var a settings.Account
-	var version ids.Offset
-	var ok bool
-	path := settings.PathOf(ids.TeamOf(id), settings.KindAccount, ids.NameOf(id))
-	l.viewer.View(func(s *replay.State) {
-		a, ok = s.Account(id)
-		e, _ := s.Get(path)
-		version = e.Version
-	})
-	return a, version, ok
-}
-
 // Slots returns how many shares are in memory.
 func (l *Lender) Slots() int {
 	l.mu.Lock()
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -205,6 +205,9 @@
 func (w *world) restart(i int, run ids.Incarnation) {
 	old := w.daemons[i]
 	must.NoError(w.t, old.kern.Stop(time.Second))
+	w.mu.Lock()
+	old.gone = true
+	w.mu.Unlock()
 	fresh := w.start(i, run)
 	w.mu.Lock()
 	w.daemons[i] = fresh
--- /dev/null
+++ b/internal/succession/succession.go
@@ -0,0 +1,160 @@
+// Package succession finds who takes over a share of an account when the roster
+// changes.
+//
+// # Usage
+//
+//	line := succession.Succession{Rosters: kept, Thing: share.Thing(account), Count: 2}
+//	switch f := line.Fate(giver, version).(type) {
+//	case succession.Passed:
+//		hand(f.To)
+//	}
+//
+// Every daemon that has read the same rosters finds the same successor. Each run
+// that leaves an account's holders has one successor, and no run succeeds two.
+package succession
+
+import (
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/share"
+)
+
+// Succession is the history of one account's holders.
+type Succession struct {
+	// Rosters are in the order of the log, and none is missing between them.
+	Rosters []roster.Roster
+	// Complete says that there was no roster before the first.
+	Complete bool
+	// Thing and Count choose the holders, as for share.Spread.
+	Thing string
+	Count int
+}
+
+// Fate is what became of the share that a run held. The interface is sealed.
+type Fate interface{ isFate() }
+
+// Stays means that every newer roster that was read leaves the share to the run.
+type Stays struct{}
+
+// Passed means that the roster at At gave the share to another run, and that all
+// newer ones leave it there.
+type Passed struct {
+	To roster.Run
+	At ids.Offset
+}
+
+// Lost means that the share can't be followed: a roster is not known, the number
+// of holders changed, or the successor has lost the share again.
+type Lost struct{}
+
+func (Stays) isFate()  {}
+func (Passed) isFate() {}
+func (Lost) isFate()   {}
+
+// Fate follows the share that a run held under the roster of a version.
+func (s Succession) Fate(giver roster.Run, version ids.Offset) Fate {
+	at := slices.IndexFunc(s.Rosters, func(r roster.Roster) bool { return r.Version == version })
+	if at < 0 && (len(s.Rosters) == 0 || version > s.Rosters[len(s.Rosters)-1].Version) {
+		// It has not been read yet.
+		return Stays{}
+	}
+	if at < 0 {
+		return Lost{}
+	}
+	before := s.holders(s.Rosters[at])
+	if !slices.Contains(before, giver) {
+		return Lost{}
+	}
+	for i := at + 1; i < len(s.Rosters); i++ {
+		after := s.holders(s.Rosters[i])
+		if len(after) != len(before) {
+			return Lost{}
+		}
+		if !slices.Contains(after, giver) {
+			return s.passed(giver, before, i)
+		}
+		before = after
+	}
+	return Stays{}
+}
+
+// passed finds the successor under the roster at a place.
+func (s Succession) passed(giver roster.Run, before []roster.Run, place int) Fate {
+	after := s.holders(s.Rosters[place])
+	to, ok := Successor(giver, before, after)
+	if !ok || !s.keeps(to, place, len(after)) {
+		return Lost{}
+	}
+	return Passed{To: to, At: s.Rosters[place].Version}
+}
+
+// keeps reports whether a run has the share under all rosters from a place on.
+func (s Succession) keeps(run roster.Run, place, count int) bool {
+	for _, r := range s.Rosters[place:] {
+		all := s.holders(r)
+		if len(all) != count || !slices.Contains(all, run) {
+			return false
+		}
+	}
+	return true
+}
+
+// First reports whether the run is the only one that can have held its share of
+// an account that was made at an offset: whoever has read that edit has read the
+// newest roster before it, and that one and all newer ones name the run.
+func (s Succession) First(run roster.Run, made ids.Offset, count int) bool {
+	place := -1
+	for i, r := range s.Rosters {
+		if r.Version < made {
+			place = i
+		}
+	}
+	if place < 0 && s.Complete {
+		place = 0
+	}
+	return made > 0 && place >= 0 && s.keeps(run, place, count)
+}
+
+// Trustee returns who keeps the share of a run until a roster names its successor:
+// the one that would succeed it if some daemons left.
+func (s Succession) Trustee(giver roster.Run, gone ...ids.Daemon) (roster.Run, bool) {
+	if len(s.Rosters) == 0 {
+		return roster.Run{}, false
+	}
+	newest := s.Rosters[len(s.Rosters)-1]
+	return Successor(giver, s.holders(newest), s.holders(newest.Without(gone...)))
+}
+
+// holders returns the runs that hold shares under a roster.
+func (s Succession) holders(r roster.Roster) []roster.Run {
+	var runs []roster.Run
+	for _, d := range share.Spread(s.Thing, r, s.Count) {
+		e, _ := r.Find(d)
+		runs = append(runs, roster.Run{Daemon: d, Incarnation: e.Incarnation})
+	}
+	return runs
+}
+
+// Successor pairs those that left with those that came, both in order.
+func Successor(giver roster.Run, before, after []roster.Run) (roster.Run, bool) {
+	left, came := without(before, after), without(after, before)
+	i := slices.Index(left, giver)
+	if i < 0 || len(left) != len(came) {
+		return roster.Run{}, false
+	}
+	return came[i], true
+}
+
+// without returns the runs of a that are not in b, in order.
+func without(a, b []roster.Run) []roster.Run {
+	var rest []roster.Run
+	for _, r := range a {
+		if !slices.Contains(b, r) {
+			rest = append(rest, r)
+		}
+	}
+	slices.SortFunc(rest, roster.Run.Compare)
+	return rest
+}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -42,3 +42,8 @@
 func (r Rate) Over(d time.Duration) Tokens {
 	return Tokens(float64(r) * d.Seconds() * float64(Token))
 }
+
+// Time returns how long the rate needs for n tokens.
+func (r Rate) Time(n Tokens) time.Duration {
+	return time.Duration(float64(n) / float64(Token) / float64(r) * float64(time.Second))
+}
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -42,6 +42,8 @@
 	formOf[message.Confirmation]("confirm"),
 	formOf[message.Borrow]("borrow"),
 	formOf[message.Lent]("lent"),
+	formOf[message.Handover]("handover"),
+	formOf[message.HandedOver]("handedover"),
 	formOf[message.GuardBegin]("guardbegin"),
 	formOf[message.GuardBegan]("guardbegan"),
 	formOf[message.GuardLook]("guardlook"),
