--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo test format lint generate unit race model
+.PHONY: all build demo bench test format lint generate unit race model
 
 all: build
 
@@ -12,6 +12,11 @@
 demo:
 	$(GO) run ./cmd/balsamdemo $(ARGS)
 
+# Measures the slopes for docs/CAPACITY.md and the ratios against a plain proxy.
+bench:
+	$(GO) run ./cmd/balsambench --write docs/slopes.json $(ARGS)
+	$(GO) run ./cmd/balsamdocs
+
 # Everything that must hold before a change lands.
 test: format lint generate unit race model
 
--- a/internal/docs/docs.go
+++ b/internal/docs/docs.go
@@ -12,8 +12,11 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
 
+	"balsamwharf.example/balsamwharf/internal/capacity"
 	"balsamwharf.example/balsamwharf/internal/reference"
+	"balsamwharf.example/balsamwharf/internal/slopes"
 )
 
 // Exit codes of the command.
@@ -37,8 +40,13 @@
 	if _, err := flags.ParseArgs(&o, args); err != nil {
 		return exitUsage
 	}
+	worked, err := capacityPage()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitStale
+	}
 	code := exitOK
-	for _, p := range reference.Pages() {
+	for _, p := range append(reference.Pages(), worked) {
 		if o.Check {
 			if !current(p) {
 				fmt.Fprintf(stderr, "%s is not current; run go run ./cmd/balsamdocs\n", p.File)
@@ -59,3 +67,27 @@
 	text, err := os.ReadFile(p.File)
 	return err == nil && bytes.Equal(text, p.Text)
 }
+
+// The page that is worked out from what the bench measured.
+const (
+	capacityFile = "docs/CAPACITY.md"
+	slopesFile   = "docs/slopes.json"
+)
+
+// capacityPage returns the page with its generated part made anew.
+func capacityPage() (reference.Page, error) {
+	measured, err := os.ReadFile(slopesFile)
+	if err != nil {
+		return reference.Page{}, errorx.Decorate(err, "read what the bench measured")
+	}
+	s, err := slopes.Read(measured)
+	if err != nil {
+		return reference.Page{}, err
+	}
+	old, err := os.ReadFile(capacityFile)
+	if err != nil {
+		return reference.Page{}, errorx.Decorate(err, "read the page on capacity")
+	}
+	text, err := capacity.Page{Slopes: s}.Fill(old)
+	return reference.Page{File: capacityFile, Text: text}, err
+}
