--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -27,6 +27,7 @@
 var forms = []form{
 	formOf[message.Request]("request"),
 	formOf[message.Reply]("reply"),
+	formOf[message.Trailer]("trailer"),
 	formOf[message.Refusal]("refusal"),
 	formOf[message.Announce]("announce"),
 	formOf[message.Noted]("noted"),
