--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -32,7 +32,7 @@
 
 // options is the command line.
 type options struct {
-	Parts []string `long:"part" description:"Measure only this part; may be repeated" choice:"rest" choice:"memory" choice:"work" choice:"link" choice:"request"`
+	Parts []string `long:"part" description:"Measure only this part; may be repeated" choice:"rest" choice:"memory" choice:"work" choice:"link" choice:"request" choice:"ratio"`
 	Write string   `long:"write" value-name:"FILE" description:"Write the slopes to this file; parts that were not measured keep what the file has"`
 }
 
@@ -66,6 +66,9 @@
 }
 
 func run(ctx context.Context, o options, stdout io.Writer) error {
+	if len(o.Parts) == 0 || slices.Contains(o.Parts, "ratio") {
+		printRatios(stdout)
+	}
 	s, err := before(o.Write)
 	if err != nil {
 		return err
