Run whole daemons in virtual time under random faults

App.Start takes its services from the same list. The gatekeeper and the ejector reach backend servers through a Dialer.

The refusal now carries the verdict that promises less of all attempts. - the fake network kept the slot of an answer that was lost on its way back, as QUIC does not; it now closes the answer.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo test format lint generate unit race red model
+.PHONY: all build demo test format lint generate unit race red soak model
 
 all: build
 
@@ -40,6 +40,12 @@
 red:
 	@cat KNOWN-RED.txt
 
+# Runs whole daemons in virtual time under random faults.
+SEED ?= 1
+HOURS ?= 1
+soak:
+	$(GO) test ./internal/soak -run Soak -v -count 1 -timeout 0 -seed $(SEED) -hours $(HOURS)
+
 # Checks the model of the core protocol; brings spin where it is missing.
 model:
 	@command -v spin >/dev/null || (apt-get update && apt-get install -y spin)
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -16,36 +16,18 @@
 
 	"balsamwharf.example/balsamwharf/internal/accept"
 	"balsamwharf.example/balsamwharf/internal/announce"
-	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/certs"
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/dial"
-	"balsamwharf.example/balsamwharf/internal/directory"
-	"balsamwharf.example/balsamwharf/internal/dispatch"
-	"balsamwharf.example/balsamwharf/internal/ejector"
-	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
-	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/front"
-	"balsamwharf.example/balsamwharf/internal/gatekeeper"
-	"balsamwharf.example/balsamwharf/internal/gossip"
-	"balsamwharf.example/balsamwharf/internal/guard"
-	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
-	"balsamwharf.example/balsamwharf/internal/lender"
-	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/operators"
-	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
-	"balsamwharf.example/balsamwharf/internal/publish"
-	"balsamwharf.example/balsamwharf/internal/relay"
-	"balsamwharf.example/balsamwharf/internal/seating"
 	"balsamwharf.example/balsamwharf/internal/settings"
-	"balsamwharf.example/balsamwharf/internal/snapshot"
-	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
+	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
 // stopTimeout is the time that each service has to finish its work.
@@ -76,40 +58,18 @@
 
 // Start starts the daemon's services.
 func (a *App) Start(ctx context.Context) error {
-	clock := &timer.Timer{}
 	c := &common.Common{
 		Log:       a.Logger,
 		Settings:  a.Settings,
-		Clock:     clock,
+		Clock:     &timer.Timer{},
 		Metrics:   metrics.NewRegistry(),
 		Invariant: &invariant.Invariant{Log: a.Logger},
 	}
 	a.common = c
-	a.kernel.Add(clock)
-	a.kernel.Add(&directory.Directory{Clock: clock})
-	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
-	a.kernel.Add(&relay.Relay{Common: c})
-	a.kernel.Add(&publish.Publish{Common: c, Log: a.Log})
-	a.kernel.Add(&snapshot.Snapshot{Common: c, Log: a.Log})
-	a.kernel.Add(&limit.Limit{Common: c})
-	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
-	a.kernel.Add(&gossip.Gossip{Common: c})
-	a.kernel.Add(&force.Force{Common: c})
-	a.kernel.Add(&confirm.Confirm{Common: c})
-	a.kernel.Add(&permit.Permit{Common: c})
-	a.kernel.Add(&ejector.Ejector{Common: c})
-	a.kernel.Add(&seating.Seating{Common: c, Log: a.Log})
-	a.kernel.Add(&lender.Lender{Common: c})
-	a.kernel.Add(&guard.Guard{Common: c})
-	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
-	a.kernel.Add(&hop.Hop{Common: c})
-	a.kernel.Add(&dispatch.Dispatch{Common: c})
-	a.kernel.Add(&accept.Accept{Common: c, Certs: a.Certs, Socket: a.Sockets.Peers})
-	a.kernel.Add(&announce.Announce{Common: c, Listener: a.Sockets.Announce})
-	a.kernel.Add(&burn.Burn{Common: c})
-	a.kernel.Add(&operators.Operators{Common: c, Log: a.Log, Certs: a.Certs, Level: a.Level, Listener: a.Sockets.Operators})
-	a.kernel.Add(&entry.Entry{Common: c})
-	a.kernel.Add(&front.Front{Common: c, Listener: a.Sockets.Callers})
+	parts := Parts{Log: a.Log, Dial: &dial.Dial{Common: c, Certs: a.Certs}}
+	for _, s := range append(Services(c, parts), a.listeners()...) {
+		a.kernel.Add(s)
+	}
 	if err := a.kernel.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
@@ -117,6 +77,17 @@
 	return nil
 }
 
+// listeners returns the services that take connections from outside.
+func (a *App) listeners() []service.Service {
+	c := a.common
+	return []service.Service{
+		&accept.Accept{Common: c, Certs: a.Certs, Socket: a.Sockets.Peers},
+		&announce.Announce{Common: c, Listener: a.Sockets.Announce},
+		&operators.Operators{Common: c, Log: a.Log, Certs: a.Certs, Level: a.Level, Listener: a.Sockets.Operators},
+		&front.Front{Common: c, Listener: a.Sockets.Callers},
+	}
+}
+
 // Stop finishes the requests in flight and stops the services.
 func (a *App) Stop() error {
 	a.common.Info(event.DaemonStopping)
--- /dev/null
+++ b/internal/app/services.go
@@ -0,0 +1,63 @@
+package app
+
+import (
+	"balsamwharf.example/balsamwharf/internal/burn"
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/dispatch"
+	"balsamwharf.example/balsamwharf/internal/ejector"
+	"balsamwharf.example/balsamwharf/internal/entry"
+	"balsamwharf.example/balsamwharf/internal/force"
+	"balsamwharf.example/balsamwharf/internal/gatekeeper"
+	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
+	"balsamwharf.example/balsamwharf/internal/hop"
+	"balsamwharf.example/balsamwharf/internal/lender"
+	"balsamwharf.example/balsamwharf/internal/limit"
+	"balsamwharf.example/balsamwharf/internal/permit"
+	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/publish"
+	"balsamwharf.example/balsamwharf/internal/relay"
+	"balsamwharf.example/balsamwharf/internal/seating"
+	"balsamwharf.example/balsamwharf/internal/snapshot"
+	"balsamwharf.example/balsamwharf/internal/tail"
+	"balsamwharf.example/balsamwharf/pkg/service"
+)
+
+// Parts is what stands between a daemon and the world outside. Package soak puts
+// fakes in its place.
+type Parts struct {
+	Log platformlog.Log
+	// Dial is the service "dial", which implements peer.Caller.
+	Dial service.Service
+	// Dialer reaches the backend servers; nil stands for TCP.
+	Dialer gatekeeper.Dialer
+}
+
+// Services returns every service of a daemon but those that listen on sockets.
+func Services(c *common.Common, p Parts) []service.Service {
+	return []service.Service{
+		c.Clock,
+		&directory.Directory{Clock: c.Clock},
+		&tail.Tail{Common: c, Log: p.Log},
+		&relay.Relay{Common: c},
+		&publish.Publish{Common: c, Log: p.Log},
+		&snapshot.Snapshot{Common: c, Log: p.Log},
+		&limit.Limit{Common: c},
+		p.Dial,
+		&gossip.Gossip{Common: c},
+		&force.Force{Common: c},
+		&confirm.Confirm{Common: c},
+		&permit.Permit{Common: c},
+		&ejector.Ejector{Common: c, Dialer: p.Dialer},
+		&seating.Seating{Common: c, Log: p.Log},
+		&lender.Lender{Common: c},
+		&guard.Guard{Common: c},
+		&gatekeeper.Gatekeeper{Common: c, Dialer: p.Dialer},
+		&hop.Hop{Common: c},
+		&dispatch.Dispatch{Common: c},
+		&burn.Burn{Common: c},
+		&entry.Entry{Common: c},
+	}
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	conn, err := backend.Dial(ctx, "127.0.0.1:9001")
+//	conn := backend.New(tcpConn)
 //	answer, sent, err := conn.Exchange(ctx, request)
 //	if err != nil && !sent {
 //		// The backend server has not seen a byte of the request.
@@ -23,8 +23,6 @@
 	"sync/atomic"
 
 	"github.com/joomcode/errorx"
-
-	"balsamwharf.example/balsamwharf/internal/ids"
 )
 
 // maxHeaderBytes bounds the header of an answer.
@@ -62,17 +60,12 @@
 	err    error
 }
 
-// Dial connects to a backend server.
-func Dial(ctx context.Context, addr ids.Address) (*Conn, error) {
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, "tcp", string(addr))
-	if err != nil {
-		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
-	}
+// New starts to use an open connection.
+func New(c net.Conn) *Conn {
 	limited := &io.LimitedReader{R: c, N: maxHeaderBytes}
 	conn := &Conn{net: c, limited: limited, reader: bufio.NewReader(limited), closed: make(chan struct{})}
 	go conn.run()
-	return conn, nil
+	return conn
 }
 
 // Close ends the connection.
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -41,6 +41,8 @@
 // Ejector decides for the targets of this VM.
 type Ejector struct {
 	Common *common.Common
+	// Dialer reaches the backend servers for probes; nil stands for TCP.
+	Dialer Dialer
 
 	directory *directory.Directory
 	gossip    *gossip.Gossip
--- a/internal/ejector/verdicts.go
+++ b/internal/ejector/verdicts.go
@@ -112,10 +112,11 @@
 func (e *Ejector) knock(ctx context.Context, addr ids.Address) error {
 	ctx, cancel := e.Common.Clock.Within(ctx, probeTimeout)
 	defer cancel()
-	conn, err := backend.Dial(ctx, addr)
+	opened, err := e.dial(ctx, addr)
 	if err != nil {
 		return err
 	}
+	conn := backend.New(opened)
 	defer conn.Close()
 	req := &http.Request{Method: http.MethodOptions, URL: &url.URL{Scheme: "http", Host: string(addr), Path: "*"}, Host: string(addr), Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
 	resp, _, err := conn.Exchange(ctx, req.WithContext(ctx))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,10 +183,11 @@
 // forward tries targets until one answers or a repeat could run the request twice.
 func (e *Entry) forward(ctx context.Context, head call.Head, replay *replayBody) (*call.Answer, error) {
 	tried := map[ids.Target]bool{}
+	var failed error
 	for attempt := 1; ; attempt++ {
 		target, err := e.choose(head.Service, tried)
 		if err != nil {
-			return nil, err
+			return nil, worse(failed, err)
 		}
 		tried[target.ID] = true
 		head.Server = target.ID
@@ -195,12 +196,21 @@
 		if err == nil {
 			return answer, nil
 		}
+		failed = worse(failed, err)
 		if attempt == maxAttempts || ctx.Err() != nil || !replay.again() || !mayRepeat(head, err) {
-			return nil, err
+			return nil, failed
 		}
 	}
 }
 
+// worse returns the error with the verdict that promises less.
+func worse(a, b error) error {
+	if a == nil || verdict.Of(a) == verdict.Unrun {
+		return b
+	}
+	return a
+}
+
 // mayRepeat reports whether the request can be sent again after the error.
 func mayRepeat(head call.Head, err error) bool {
 	return verdict.Of(err) == verdict.Unrun || head.Idempotent
--- a/internal/fakenet/fakenet.go
+++ b/internal/fakenet/fakenet.go
@@ -173,6 +173,7 @@
 		return answer, err
 	}
 	if err := c.net.pass(ctx, to, c.self); err != nil {
+		_ = answer.Body.Close()
 		return nil, verdict.Wrap(verdict.Maybe, 502, "the answer was lost", err)
 	}
 	return answer, nil
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -30,6 +30,8 @@
 // Gatekeeper holds the targets of one VM.
 type Gatekeeper struct {
 	Common *common.Common
+	// Dialer reaches the backend servers; nil stands for TCP.
+	Dialer Dialer
 
 	gossip  *gossip.Gossip
 	ejector *ejector.Ejector
@@ -89,7 +91,7 @@
 	if ok {
 		t.close()
 	}
-	g.targets[a.ID] = newTarget(g.Common.Clock, a)
+	g.targets[a.ID] = newTarget(g, a)
 	g.track(a)
 	g.mu.Unlock()
 	g.publish()
--- a/internal/gatekeeper/target.go
+++ b/internal/gatekeeper/target.go
@@ -9,8 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"balsamwharf.example/balsamwharf/internal/backend"
 	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/pool"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -27,6 +30,7 @@
 // target is one backend server with its slots and its idle connections.
 type target struct {
 	clock        *timer.Timer
+	dialer       Dialer
 	announcement Announcement
 	announced    units.Instant
 	renewed      units.Instant
@@ -40,10 +44,14 @@
 	typical time.Duration
 }
 
-func newTarget(clock *timer.Timer, a Announcement) *target {
+func newTarget(g *Gatekeeper, a Announcement) *target {
+	clock := g.Common.Clock
 	now := clock.Now()
 	t := &target{clock: clock, announcement: a, announced: now, renewed: now, slots: make(chan struct{}, a.Slots)}
 	t.idle.Limit = a.Slots
+	if t.dialer = g.Dialer; t.dialer == nil {
+		t.dialer = &tcp{}
+	}
 	return t
 }
 
@@ -137,7 +145,7 @@
 	for {
 		c, ok := t.idle.Get()
 		if !ok {
-			return backend.Dial(ctx, t.announcement.Address)
+			return t.dial(ctx, t.announcement.Address)
 		}
 		if !c.Closed() {
 			return c, nil
@@ -145,6 +153,14 @@
 	}
 }
 
+func (t *target) dial(ctx context.Context, addr ids.Address) (*backend.Conn, error) {
+	c, err := t.dialer.Dial(ctx, addr)
+	if err != nil {
+		return nil, errorx.Decorate(err, "connect to backend server %s", addr)
+	}
+	return backend.New(c), nil
+}
+
 func failure(ctx context.Context, err error) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.Wrap(verdict.Maybe, http.StatusGatewayTimeout, "the backend server did not answer within the deadline", err)
--- a/internal/logstub/logstub.go
+++ b/internal/logstub/logstub.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Away reports whether every call fails.
+func (s *Stub) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 // SetSlow delays every append.
 func (s *Stub) SetSlow(d time.Duration) {
 	s.mu.Lock()
