--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -19,6 +19,7 @@
 	"balsamwharf.example/balsamwharf/internal/certs"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/dial"
+	"balsamwharf.example/balsamwharf/internal/drain"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/front"
 	"balsamwharf.example/balsamwharf/internal/invariant"
@@ -30,8 +31,9 @@
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
-// stopTimeout is the time that each service has to finish its work.
-const stopTimeout = 30 * time.Second
+// stopTimeout is the time that each service has to finish its work. Requests in
+// flight are bounded by their own deadlines.
+const stopTimeout = 10 * time.Minute
 
 // App is one daemon.
 type App struct {
@@ -77,7 +79,8 @@
 	return nil
 }
 
-// listeners returns the services that take connections from outside.
+// listeners returns the services that take connections from outside, and the one
+// that ends their work.
 func (a *App) listeners() []service.Service {
 	c := a.common
 	return []service.Service{
@@ -85,6 +88,7 @@
 		&announce.Announce{Common: c, Listener: a.Sockets.Announce},
 		&operators.Operators{Common: c, Log: a.Log, Certs: a.Certs, Level: a.Level, Listener: a.Sockets.Operators},
 		&front.Front{Common: c, Listener: a.Sockets.Callers},
+		&drain.Drain{Common: c},
 	}
 }
 
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -21,6 +21,7 @@
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/publish"
 	"balsamwharf.example/balsamwharf/internal/standing"
@@ -176,9 +177,13 @@
 	l.end()
 }
 
-// stop ends the daemon gracefully: callers' requests end first.
+// stop ends the daemon gracefully, in the order of package drain, which needs
+// sockets: the fleet hears of it, and the requests in flight end first.
 func (l *life) stop() {
+	l.gossip.Update(func(m *member.Member) { m.Leaving = true })
+	l.gatekeeper.Close()
 	l.inside.Wait()
+	time.Sleep(2 * timeout)
 	if err := l.kernel.Stop(stopTimeout); err != nil {
 		l.node.soak.Log.Warn("a daemon did not stop in time", zap.Error(err))
 	}
