--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -28,16 +28,18 @@
 func (e *Entry) forward(ctx context.Context, p *passage, head call.Head, replay *replayBody) (*call.Answer, error) {
 	j := &journey{passage: p, head: head, body: replay, tried: map[ids.Target]bool{}}
 	j.memory = e.services.begin(e.Common.Clock.Now(), head.Service, p.service.Retries)
+	var failed error
 	for {
 		answer, err := e.attempt(ctx, j)
 		if err == nil {
 			return answer, nil
 		}
+		failed = worse(failed, err)
 		if ctx.Err() != nil || len(j.tried) >= maxAttempts || !j.mayRepeat(err) || !j.memory.spend() {
-			return nil, err
+			return nil, failed
 		}
 		if len(e.directory.Targets(head.Service)) <= len(j.tried) {
-			return nil, err
+			return nil, failed
 		}
 		e.counts.retries.Inc(1)
 	}
