Renew certificates while the daemon runs, and bind messages to their sender

Certificates were read once, so a new one needed a restart; a peer of another authority was refused without a log line; and a daemon could begin or end another daemon's attempt with an idempotency key.

The accepting side checks peers in VerifyConnection, so that it can log whom it refused (204). Borrow, GuardBegin and GuardEnd are refused when they name another daemon than the certificate (206), and the copy of a key takes notes from the key's guard only. Edits outside the team's subtree log 602, requests without a valid key 203.

The fake network of the guard's tests now passes on the sender, as the real one does.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -65,7 +65,7 @@
 		}
 	}
 	config := &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams}
-	if a.listener, err = quic.Listen(a.Socket, a.Certs.Server(), config); err != nil {
+	if a.listener, err = quic.Listen(a.Socket, a.Certs.Server(a.refused), config); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
 	go a.accept(ctx)
@@ -87,6 +87,11 @@
 	return errors.Join(err, a.Socket.Close())
 }
 
+// refused logs a peer that did not prove its name.
+func (a *Accept) refused(from net.Addr, err error) {
+	a.Common.Warn(event.PeerRefused, zap.Stringer("from", from), zap.Error(err))
+}
+
 // accept starts a task for each peer that connects.
 func (a *Accept) accept(ctx context.Context) {
 	for {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -40,6 +39,7 @@
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/publish"
 	"balsamwharf.example/balsamwharf/internal/relay"
+	"balsamwharf.example/balsamwharf/internal/renew"
 	"balsamwharf.example/balsamwharf/internal/seating"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/snapshot"
@@ -65,17 +65,11 @@
 	kernel kernel.Kernel
 }
 
-// Sockets are listeners that are already open; nil ones are opened at the
-// addresses in the settings.
-type Sockets struct {
-	Callers   net.Listener
-	Announce  net.Listener
-	Operators net.Listener
-	Peers     net.PacketConn
-}
-
 // Start starts the daemon's services.
 func (a *App) Start(ctx context.Context) error {
+	if err := a.Sockets.settle(&a.Settings.Listen); err != nil {
+		return err
+	}
 	clock := &timer.Timer{}
 	c := &common.Common{
 		Log:       a.Logger,
@@ -86,6 +80,7 @@
 	}
 	a.common = c
 	a.kernel.Add(clock)
+	a.kernel.Add(&renew.Renew{Common: c, Certs: a.Certs})
 	a.kernel.Add(&directory.Directory{Clock: clock})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
 	a.kernel.Add(&relay.Relay{Common: c})
@@ -113,7 +108,13 @@
 	if err := a.kernel.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
-	c.Info(event.DaemonStarted, zap.String("daemon", string(a.Settings.Identity.Daemon)))
+	listen := a.Settings.Listen
+	c.Info(event.DaemonStarted,
+		zap.String("daemon", string(a.Settings.Identity.Daemon)),
+		zap.String("callers", string(listen.Callers)),
+		zap.String("peers", string(listen.Peers)),
+		zap.String("operators", string(listen.Operators)),
+		zap.String("announce", string(listen.Announce)))
 	return nil
 }
 
--- /dev/null
+++ b/internal/app/sockets.go
@@ -0,0 +1,62 @@
+package app
+
+import (
+	"net"
+
+	"github.com/joomcode/errorx"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/settings"
+)
+
+// Sockets are listeners that are already open; nil ones are opened at the
+// addresses in the settings.
+type Sockets struct {
+	Callers   net.Listener
+	Announce  net.Listener
+	Operators net.Listener
+	Peers     net.PacketConn
+}
+
+// settle opens the sockets whose address has port 0 and writes the address that
+// they got into the settings, because other daemons must learn it.
+func (s *Sockets) settle(l *settings.Listen) error {
+	if err := settle(&s.Callers, &l.Callers); err != nil {
+		return err
+	}
+	if err := settle(&s.Announce, &l.Announce); err != nil {
+		return err
+	}
+	if err := settle(&s.Operators, &l.Operators); err != nil {
+		return err
+	}
+	if s.Peers != nil || !free(l.Peers) {
+		return nil
+	}
+	socket, err := net.ListenPacket("udp", string(l.Peers))
+	if err != nil {
+		return errorx.Decorate(err, "listen for peers")
+	}
+	s.Peers = socket
+	l.Peers = ids.Address(socket.LocalAddr().String())
+	return nil
+}
+
+func settle(listener *net.Listener, address *ids.Address) error {
+	if *listener != nil || !free(*address) {
+		return nil
+	}
+	l, err := net.Listen("tcp", string(*address))
+	if err != nil {
+		return errorx.Decorate(err, "listen at %s", *address)
+	}
+	*listener = l
+	*address = ids.Address(l.Addr().String())
+	return nil
+}
+
+// free reports whether the address leaves the port to the system.
+func free(a ids.Address) bool {
+	_, port, err := net.SplitHostPort(string(a))
+	return err == nil && port == "0"
+}
--- a/internal/balsam/view.go
+++ b/internal/balsam/view.go
@@ -48,7 +48,10 @@
 		fmt.Fprintf(w, "roster\t%d daemons, %d witnesses\n", s.Roster, s.Witnesses)
 		fmt.Fprintf(w, "fleet\t%d daemons in reach, %d lost\n", s.Known, s.Lost)
 		fmt.Fprintf(w, "assertions\t%d checked, %d failed\n", s.Checks, s.Broken)
-		fmt.Fprintf(w, "certificate\texpires %s\n", s.Expires)
+		fmt.Fprintf(w, "certificate\tfor peers expires %s\n", s.Expires)
+		if s.Public != "" {
+			fmt.Fprintf(w, "certificate\tfor callers expires %s\n", s.Public)
+		}
 	})
 }
 
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -4,14 +4,16 @@
 // # Usage
 //
 //	id, err := certs.Load(settings.Trust)
-//	server := id.Server()
+//	server := id.Server(func(from net.Addr, err error) { ... })
 //	client := id.Client("daemon-7")
 package certs
 
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
+	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 
@@ -22,60 +24,130 @@
 // Protocol is the application protocol between daemons.
 const Protocol = "balsam/1"
 
-// Certs is a daemon's certificate and the authority that it trusts.
-type Certs struct {
-	Own       tls.Certificate
-	Authority *x509.CertPool
+// Certs is a daemon's certificate and the authority that it trusts. Both may be
+// replaced while connections use them; handshakes take the newest ones.
+type Certs struct{ now atomic.Pointer[trusted] }
+
+// trusted is what handshakes need at one time.
+type trusted struct {
+	own       tls.Certificate
+	authority *x509.CertPool
 }
 
+// Refused is told of each peer whose certificate was refused.
+type Refused func(from net.Addr, err error)
+
 // Load reads the files that the settings name.
 func Load(t settings.Trust) (*Certs, error) {
+	c := &Certs{}
+	return c, c.Reload(t)
+}
+
+// Reload reads the files again. After an error the certificates stay as they were.
+func (c *Certs) Reload(t settings.Trust) error {
 	own, err := tls.LoadX509KeyPair(t.Cert, t.Key)
 	if err != nil {
-		return nil, errorx.Decorate(err, "load certificate %s", t.Cert)
+		return errorx.Decorate(err, "load certificate %s", t.Cert)
 	}
 	pem, err := os.ReadFile(t.Authority)
 	if err != nil {
-		return nil, errorx.Decorate(err, "load authority")
+		return errorx.Decorate(err, "load authority")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errorx.IllegalFormat.New("%s holds no certificate", t.Authority)
+		return errorx.IllegalFormat.New("%s holds no certificate", t.Authority)
+	}
+	c.now.Store(&trusted{own: own, authority: pool})
+	return nil
+}
+
+// load returns the present certificates; there are none before Reload.
+func (c *Certs) load() *trusted {
+	if t := c.now.Load(); t != nil {
+		return t
 	}
-	return &Certs{Own: own, Authority: pool}, nil
+	return &trusted{authority: x509.NewCertPool()}
 }
 
-// Server returns the configuration of the accepting side.
-func (c *Certs) Server() *tls.Config {
+// Own returns the daemon's certificate.
+func (c *Certs) Own() *tls.Certificate {
+	return &c.load().own
+}
+
+// Server returns the configuration of the accepting side. It checks peers itself,
+// because the TLS library does not tell which peers it refused. Sessions are not
+// resumed, so that each connection is checked by the newest authority.
+func (c *Certs) Server(refused Refused) *tls.Config {
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{c.Own},
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		ClientCAs:    c.Authority,
-		NextProtos:   []string{Protocol},
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{Protocol},
+		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+			return c.load().server(hello.Conn.RemoteAddr(), refused), nil
+		},
+	}
+}
+
+func (t *trusted) server(from net.Addr, refused Refused) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		Certificates:           []tls.Certificate{t.own},
+		ClientAuth:             tls.RequestClientCert,
+		NextProtos:             []string{Protocol},
+		SessionTicketsDisabled: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			err := t.verify(state)
+			if err != nil {
+				refused(from, err)
+			}
+			return err
+		},
 	}
 }
 
+// verify checks that the authority signed the peer's certificate and that it names
+// a daemon.
+func (t *trusted) verify(state tls.ConnectionState) error {
+	if _, err := NameOf(state); err != nil {
+		return err
+	}
+	between := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		between.AddCert(cert)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         t.authority,
+		Intermediates: between,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth},
+	})
+	return err
+}
+
 // Client returns the configuration for a connection to one daemon, whose
 // certificate must carry its name.
 func (c *Certs) Client(to ids.Daemon) *tls.Config {
+	t := c.load()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{c.Own},
-		RootCAs:      c.Authority,
+		Certificates: []tls.Certificate{t.own},
+		RootCAs:      t.authority,
 		ServerName:   string(to),
 		NextProtos:   []string{Protocol},
 	}
 }
 
-// NameOf returns the daemon that a verified certificate stands for.
+// NameOf returns the daemon that a certificate stands for: its common name, which
+// must also be among its DNS names.
 func NameOf(state tls.ConnectionState) (ids.Daemon, error) {
 	if len(state.PeerCertificates) == 0 {
 		return "", errorx.IllegalState.New("peer sent no certificate")
 	}
-	name := state.PeerCertificates[0].Subject.CommonName
+	cert := state.PeerCertificates[0]
+	name := cert.Subject.CommonName
 	if name == "" {
 		return "", errorx.IllegalFormat.New("peer's certificate has no common name")
 	}
+	if err := cert.VerifyHostname(name); err != nil {
+		return "", errorx.Decorate(err, "common name of the peer's certificate")
+	}
 	return ids.Daemon(name), nil
 }
--- a/internal/certs/issue.go
+++ b/internal/certs/issue.go
@@ -68,8 +68,14 @@
 	if err != nil {
 		return nil, errorx.Decorate(err, "sign certificate of %s", id)
 	}
-	own := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
-	return &Certs{Own: own, Authority: i.pool}, nil
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errorx.Decorate(err, "parse certificate of %s", id)
+	}
+	own := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+	c := &Certs{}
+	c.now.Store(&trusted{own: own, authority: i.pool})
+	return c, nil
 }
 
 func newTemplate(name string, now time.Time, valid time.Duration) (*x509.Certificate, error) {
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -138,13 +139,24 @@
 	}
 	conn, err := d.dial(ctx, to)
 	if err != nil {
-		d.Common.Debug(event.PeerLost, zap.String("peer", string(to)), zap.Error(err))
+		d.note(to, err)
 		return nil, errorx.Decorate(err, "connect to %s", to)
 	}
 	p.conn = conn
 	return conn, nil
 }
 
+// note logs why a connection failed. A peer that did not prove its name is more
+// than a lost one.
+func (d *Dial) note(to ids.Daemon, err error) {
+	var wrong *tls.CertificateVerificationError
+	if errors.As(err, &wrong) {
+		d.Common.Warn(event.PeerRefused, zap.String("peer", string(to)), zap.Error(err))
+		return
+	}
+	d.Common.Debug(event.PeerLost, zap.String("peer", string(to)), zap.Error(err))
+}
+
 func (d *Dial) peer(to ids.Daemon) *peer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,12 +13,15 @@
 	"io"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/burn"
 	"balsamwharf.example/balsamwharf/internal/call"
+	"balsamwharf.example/balsamwharf/internal/claim"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/ejector"
+	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/guard"
@@ -89,6 +92,10 @@
 
 // Control answers a message that has no body.
 func (d *Dispatch) Control(ctx context.Context, from ids.Daemon, m message.Message) (message.Message, error) {
+	if name, ok := claim.Of(m); ok && name != from {
+		d.Common.Warn(event.ClaimRefused, zap.String("peer", string(from)), zap.String("claim", string(name)))
+		return nil, errorx.IllegalArgument.New("%s spoke as %s", from, name)
+	}
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
@@ -99,9 +106,9 @@
 	case message.GuardLook:
 		return d.guard.Look(m), nil
 	case message.GuardCopy:
-		return d.guard.Copy(m), nil
+		return d.guard.Copy(from, m), nil
 	case message.GuardEnd:
-		return d.guard.End(ctx, m), nil
+		return d.guard.End(ctx, from, m), nil
 	case message.Count:
 		return message.Counted{Tally: d.burn.Tally()}, nil
 	case message.Probe:
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -16,5 +16,6 @@
 	AnswerCut      = define(202, "cut", "An answer ended early; the caller's connection was aborted.")
 	KeyRefused     = define(203, "key", "A request came without a valid key. The key itself is never logged.")
 	PeerRefused    = define(204, "peer", "A connection between daemons was refused because its certificate does not fit.")
+	ClaimRefused   = define(206, "claim", "A daemon sent a message in the name of another; the message was refused.")
 	PeerLost       = define(205, "lost", "A connection to another daemon failed.")
 )
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/renew"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
@@ -46,7 +47,7 @@
 func (f *Front) Name() service.Name { return "front" }
 
 // Needs implements service.Service.
-func (f *Front) Needs() []service.Name { return []service.Name{"entry"} }
+func (f *Front) Needs() []service.Name { return []service.Name{"entry", "renew"} }
 
 // Start implements service.Service.
 func (f *Front) Start(ctx context.Context, finder service.Finder) error {
@@ -54,12 +55,17 @@
 	if f.entry, err = kernel.Find[*entry.Entry](finder, "entry"); err != nil {
 		return err
 	}
+	certificates, err := kernel.Find[*renew.Renew](finder, "renew")
+	if err != nil {
+		return err
+	}
 	if f.Listener == nil {
 		if f.Listener, err = net.Listen("tcp", string(f.Common.Settings.Listen.Callers)); err != nil {
 			return errorx.Decorate(err, "listen for callers")
 		}
 	}
 	f.server = f.newServer(ctx)
+	f.server.TLSConfig = certificates.Server()
 	go f.serve()
 	return nil
 }
@@ -81,10 +87,9 @@
 }
 
 func (f *Front) serve() {
-	set := f.Common.Settings.Listen
 	var err error
-	if set.Cert != "" {
-		err = f.server.ServeTLS(f.Listener, set.Cert, set.Key)
+	if f.server.TLSConfig != nil {
+		err = f.server.ServeTLS(f.Listener, "", "")
 	} else {
 		err = f.server.Serve(f.Listener)
 	}
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -50,6 +50,14 @@
 	_, _ = w.Write(body)
 }
 
+func statusOf(err error) int {
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return http.StatusBadGateway
+	}
+	return e.Status
+}
+
 // retryAfter returns whole seconds, rounded up.
 func retryAfter(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
@@ -57,6 +65,10 @@
 
 // note logs a refusal without anything that the caller sent as a secret.
 func (f *Front) note(a entry.Arrival, err error) {
+	if statusOf(err) == http.StatusUnauthorized {
+		f.Common.Info(event.KeyRefused, zap.String("method", a.Method), zap.String("path", a.Path))
+		return
+	}
 	e := event.RequestFailed
 	if verdict.Of(err) == verdict.Unrun {
 		e = event.RequestRefused
--- a/internal/guard/answer.go
+++ b/internal/guard/answer.go
@@ -36,14 +36,15 @@
 }
 
 // Copy keeps a note for the guard under the roster that this daemon acts on.
-func (g *Guard) Copy(m message.GuardCopy) message.GuardCopied {
+// It takes notes from that guard only.
+func (g *Guard) Copy(from ids.Daemon, m message.GuardCopy) message.GuardCopied {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Common.Clock.Now()
 	r, ok := g.seat(now)
 	self, _ := g.standing.Self()
 	to := pair(m.Key, r)
-	if !ok || len(to) < 2 || !stays(m.Key, r) || to[1] != self || r.Version != m.Version || g.floor != m.Version {
+	if !ok || len(to) < 2 || !stays(m.Key, r) || to[0] != from || to[1] != self || r.Version != m.Version || g.floor != m.Version {
 		return message.GuardCopied{}
 	}
 	old, kept := g.book.Copy(now, m.Key, m.Note)
@@ -64,7 +65,11 @@
 }
 
 // End notes how an attempt ended and tells the second daemon.
-func (g *Guard) End(ctx context.Context, m message.GuardEnd) message.GuardEnded {
+func (g *Guard) End(ctx context.Context, from ids.Daemon, m message.GuardEnd) message.GuardEnded {
+	to := pair(m.Key, g.standing.Roster())
+	if m.Passed && (len(to) == 0 || to[0] != from) {
+		return message.GuardEnded{}
+	}
 	g.mu.Lock()
 	if m.Answer == nil {
 		g.book.Cancel(m.Key, m.Attempt)
@@ -72,7 +77,6 @@
 		g.book.Finish(g.Common.Clock.Now(), m.Key, m.Attempt, m.Answer)
 	}
 	g.mu.Unlock()
-	to := pair(m.Key, g.standing.Roster())
 	self, _ := g.standing.Self()
 	if !m.Passed && len(to) > 1 && to[1] != self {
 		m.Passed = true
--- a/internal/guard/world_test.go
+++ b/internal/guard/world_test.go
@@ -176,12 +176,12 @@
 	w.mu.Unlock()
 	if lost || peer == nil {
 		if late && peer != nil {
-			time.AfterFunc(3*time.Second, func() { peer.answer(context.Background(), m) })
+			time.AfterFunc(3*time.Second, func() { peer.answer(context.Background(), d.entry.Daemon, m) })
 		}
 		<-ctx.Done()
 		return nil, errLost
 	}
-	reply := peer.answer(ctx, m)
+	reply := peer.answer(ctx, d.entry.Daemon, m)
 	if back {
 		<-ctx.Done()
 		return nil, errLost
@@ -190,16 +190,16 @@
 	return reply, nil
 }
 
-func (d *daemon) answer(ctx context.Context, m message.Message) message.Message {
+func (d *daemon) answer(ctx context.Context, from ids.Daemon, m message.Message) message.Message {
 	switch m := m.(type) {
 	case message.GuardBegin:
 		return d.guard.Began(ctx, m)
 	case message.GuardLook:
 		return d.guard.Look(m)
 	case message.GuardCopy:
-		return d.guard.Copy(m)
+		return d.guard.Copy(from, m)
 	case message.GuardEnd:
-		return d.guard.End(ctx, m)
+		return d.guard.End(ctx, from, m)
 	default:
 		panic(fmt.Sprintf("unexpected %T", m))
 	}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -30,6 +30,7 @@
 	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/publish"
+	"balsamwharf.example/balsamwharf/internal/renew"
 	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/pkg/api"
@@ -59,6 +60,7 @@
 	force     force
 	burn      *burn.Burn
 	peers     peer.Caller
+	renew     *renew.Renew
 	server    *http.Server
 }
 
@@ -73,7 +75,7 @@
 
 // Needs implements service.Service.
 func (o *Operators) Needs() []service.Name {
-	return []service.Name{"timer", "tail", "publish", "directory", "confirm", "force", "burn", "dial"}
+	return []service.Name{"timer", "tail", "publish", "directory", "confirm", "force", "burn", "dial", "renew"}
 }
 
 // Start implements service.Service.
@@ -88,6 +90,7 @@
 		}
 	}
 	o.server = &http.Server{Handler: o.mux(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(zap.NewNop())}
+	o.server.TLSConfig = o.renew.Server()
 	go o.serve()
 	return nil
 }
@@ -112,15 +115,17 @@
 	if o.burn, err = kernel.Find[*burn.Burn](f, "burn"); err != nil {
 		return err
 	}
-	o.peers, err = kernel.Find[peer.Caller](f, "dial")
+	if o.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+		return err
+	}
+	o.renew, err = kernel.Find[*renew.Renew](f, "renew")
 	return err
 }
 
 func (o *Operators) serve() {
-	set := o.Common.Settings.Listen
 	var err error
-	if set.Cert != "" {
-		err = o.server.ServeTLS(o.Listener, set.Cert, set.Key)
+	if o.server.TLSConfig != nil {
+		err = o.server.ServeTLS(o.Listener, "", "")
 	} else {
 		err = o.server.Serve(o.Listener)
 	}
--- a/internal/operators/settings.go
+++ b/internal/operators/settings.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"strings"
 
+	"go.uber.org/zap"
+
+	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/publish"
@@ -59,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, denied := receipt.Result.(publish.Denied); denied {
+		o.Common.Warn(event.EditDenied, zap.String("team", string(s.team)), zap.String("path", e.Path))
+	}
 	return receiptOf(receipt), nil
 }
 
--- a/internal/operators/status.go
+++ b/internal/operators/status.go
@@ -1,11 +1,11 @@
 package operators
 
 import (
-	"crypto/x509"
 	"net/http"
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/keypair"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/settings"
@@ -28,7 +28,8 @@
 		Lost:      len(o.directory.Missing()),
 		Broken:    o.Common.Invariant.Broken(),
 		Checks:    o.Common.Invariant.Checks(),
-		Expires:   expires(o.Certs.Own.Certificate),
+		Expires:   expires(keypair.End(o.Certs.Own())),
+		Public:    expires(o.renew.Expires()),
 	}, nil
 }
 
@@ -38,16 +39,12 @@
 	return at
 }
 
-// expires returns the end of the first certificate in the chain.
-func expires(chain [][]byte) string {
-	if len(chain) == 0 {
+// expires writes the end of a certificate; it is empty when there is none.
+func expires(end time.Time, ok bool) string {
+	if !ok {
 		return ""
 	}
-	cert, err := x509.ParseCertificate(chain[0])
-	if err != nil {
-		return ""
-	}
-	return cert.NotAfter.UTC().Format(time.RFC3339)
+	return end.UTC().Format(time.RFC3339)
 }
 
 func (o *Operators) targets(r *http.Request) (any, error) {
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -84,8 +84,10 @@
 	Lost      int    `json:"lost"`
 	Broken    int64  `json:"broken"`
 	Checks    int64  `json:"checks"`
-	// Expires is when the daemon's certificate ends, as RFC 3339.
+	// Expires is when the daemon's certificate for its peers ends, as RFC 3339.
 	Expires string `json:"expires"`
+	// Public is when the certificate for callers ends; it is empty without TLS.
+	Public string `json:"public,omitempty"`
 }
 
 // Target is one backend server as the fleet knows it.
