--- /dev/null
+++ b/cmd/balsamstandin/main.go
@@ -0,0 +1,12 @@
+// Command balsamstandin stands in for a backend server in trials.
+package main
+
+import (
+	"os"
+
+	"balsamwharf.example/balsamwharf/internal/balsamstandin"
+)
+
+func main() {
+	os.Exit(balsamstandin.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/balsam/commands.go
+++ b/internal/balsam/commands.go
@@ -19,6 +19,9 @@
 	addTo(key, "grant", "Make a key and print it once", &keyGrant{shell: s})
 	addTo(key, "withdraw", "Withdraw a key", &keyWithdraw{shell: s})
 	addTo(key, "list", "List keys by name", &keyList{shell: s})
+	cert := add(p, "cert", "Make certificates for a small installation", &struct{}{})
+	addTo(cert, "authority", "Make the certificate authority", &certAuthority{shell: s})
+	addTo(cert, "issue", "Make the certificate of one daemon", &certIssue{shell: s})
 	report := add(p, "report", "Reports", &struct{}{})
 	addTo(report, "burn", "Show how fast services spend their error budgets", &reportBurn{shell: s})
 }
--- /dev/null
+++ b/internal/processes/process_test.go
@@ -0,0 +1,147 @@
+package processes_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// testTimeout bounds every wait of a test.
+const testTimeout = 90 * time.Second
+
+// build builds the commands and returns their directory.
+func build(ctx context.Context, t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", dir+"/", "balsamwharf.example/balsamwharf/cmd/...").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return dir
+}
+
+// process is a running command whose output is read line by line.
+type process struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+
+	mu    sync.Mutex
+	lines []string
+	grown chan struct{}
+}
+
+// start runs a command until it ends or the test does.
+func start(ctx context.Context, t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, cmd: exec.CommandContext(ctx, name, args...), done: make(chan struct{}), grown: make(chan struct{})}
+	reader, writer, err := os.Pipe()
+	must.NoError(t, err)
+	p.cmd.Stdout, p.cmd.Stderr = writer, writer
+	must.NoError(t, p.cmd.Start())
+	must.NoError(t, writer.Close())
+	go p.read(reader)
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if t.Failed() {
+			t.Logf("%s %v printed:\n%s", filepath.Base(name), args, p.output())
+		}
+	})
+	return p
+}
+
+func (p *process) read(r io.ReadCloser) {
+	defer r.Close()
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		close(p.grown)
+		p.grown = make(chan struct{})
+		p.mu.Unlock()
+	}
+	p.err = p.cmd.Wait()
+	close(p.done)
+}
+
+func (p *process) output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := ""
+	for _, line := range p.lines {
+		text += line + "\n"
+	}
+	return text
+}
+
+// line waits for the first line that fits.
+func (p *process) line(ctx context.Context, fits func(string) bool) string {
+	p.t.Helper()
+	for next := 0; ; {
+		p.mu.Lock()
+		lines, grown := p.lines, p.grown
+		p.mu.Unlock()
+		for ; next < len(lines); next++ {
+			if fits(lines[next]) {
+				return lines[next]
+			}
+		}
+		select {
+		case <-grown:
+		case <-p.done:
+			p.t.Fatalf("%s ended: %v\n%s", p.cmd.Path, p.err, p.output())
+		case <-ctx.Done():
+			p.t.Fatalf("%s did not print the line in time", p.cmd.Path)
+		}
+	}
+}
+
+// first returns the first line of the output.
+func (p *process) first(ctx context.Context) string {
+	p.t.Helper()
+	return p.line(ctx, func(string) bool { return true })
+}
+
+// logged is a line of a daemon's log.
+type logged struct {
+	Event     int    `json:"event"`
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+	Announce  string `json:"announce"`
+}
+
+// event waits for a numbered event in a daemon's log.
+func (p *process) event(ctx context.Context, number int) logged {
+	p.t.Helper()
+	var found logged
+	p.line(ctx, func(line string) bool {
+		var l logged
+		if json.Unmarshal([]byte(line), &l) != nil || l.Event != number {
+			return false
+		}
+		found = l
+		return true
+	})
+	return found
+}
+
+// end waits until the process has ended and returns its exit code.
+func (p *process) end(ctx context.Context) int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		p.t.Fatalf("%s did not end in time", p.cmd.Path)
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
--- /dev/null
+++ b/internal/processes/processes_test.go
@@ -0,0 +1,255 @@
+// Package processes_test runs a fleet as separate processes, as it is installed.
+package processes_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/fleet"
+)
+
+const (
+	root       = "root-credential"
+	credential = "andrade-credential"
+	// inFlight is the number of requests under way while a daemon stops.
+	inFlight = 8
+)
+
+// installation is a fleet of processes.
+type installation struct {
+	t       *testing.T
+	ctx     context.Context
+	bin     string
+	dir     string
+	log     *process
+	logURL  string
+	daemons []*daemon
+	servers []*process
+}
+
+// daemon is one balsamd.
+type daemon struct {
+	*process
+	name string
+	logged
+}
+
+// install starts a log service, three daemons and two backend servers.
+func install(t *testing.T) *installation {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	t.Cleanup(cancel)
+	i := &installation{t: t, ctx: ctx, bin: build(ctx, t), dir: t.TempDir()}
+	i.balsam("cert", "authority", "--dir", i.dir)
+	i.log = start(ctx, t, i.command("balsamlog"))
+	i.logURL = i.log.first(ctx)
+	for n, centre := range []string{"north", "south", "west"} {
+		i.daemon(fmt.Sprintf("vm%d", n+1), centre)
+	}
+	for n, d := range i.daemons[:2] {
+		i.servers = append(i.servers, start(ctx, t, i.command("balsamstandin"),
+			"--announce", "http://"+d.Announce, "--name", fmt.Sprintf("payments-%d", n+1),
+			"--service", "andrade/payments", "--slots", "16"))
+	}
+	return i
+}
+
+func (i *installation) command(name string) string { return filepath.Join(i.bin, name) }
+
+// daemon starts a daemon with a certificate and an INI file of its own. The first
+// daemon is the seed of the others.
+func (i *installation) daemon(name, centre string) {
+	i.t.Helper()
+	i.balsam("cert", "issue", name, "--dir", i.dir)
+	seeds := ""
+	if len(i.daemons) > 0 {
+		seeds = i.daemons[0].name + "@" + i.daemons[0].Peers
+	}
+	ini := fmt.Sprintf(`[identity]
+daemon = %[1]s
+centre = %[2]s
+[listen]
+callers = 127.0.0.1:0
+peers = 127.0.0.1:0
+operators = 127.0.0.1:0
+announce = 127.0.0.1:0
+[trust]
+authority = %[3]s/authority.crt
+cert = %[3]s/%[1]s.crt
+key = %[3]s/%[1]s.key
+[platform]
+log = %[4]s
+[peers]
+seeds = %[5]s
+`, name, centre, i.dir, i.logURL, seeds)
+	file := filepath.Join(i.dir, name+".ini")
+	must.NoError(i.t, os.WriteFile(file, []byte(ini), 0o600))
+	p := start(i.ctx, i.t, i.command("balsamd"), "-c", file)
+	d := &daemon{process: p, name: name, logged: p.event(i.ctx, int(event.DaemonStarted))}
+	i.daemons = append(i.daemons, d)
+}
+
+// balsam runs an operator's command that must succeed and returns its output.
+func (i *installation) balsam(args ...string) string {
+	i.t.Helper()
+	out, err := i.try(args...)
+	must.NoError(i.t, err, must.Sprint(args, out))
+	return out
+}
+
+func (i *installation) try(args ...string) (string, error) {
+	cmd := exec.CommandContext(i.ctx, i.command("balsam"), args...)
+	cmd.Env = append(os.Environ(), "BALSAM_TEAM=andrade", "BALSAM_CREDENTIAL="+credential)
+	for _, d := range i.daemons {
+		cmd.Env = append(cmd.Env, "BALSAM_DAEMONS=http://"+d.Operators)
+	}
+	out, err := cmd.Output()
+	if err != nil {
+		return string(out), fmt.Errorf("%w: %s", err, stderrOf(err))
+	}
+	return string(out), nil
+}
+
+func stderrOf(err error) []byte {
+	if e, ok := err.(*exec.ExitError); ok {
+		return e.Stderr
+	}
+	return nil
+}
+
+// setUp publishes the settings and returns a key.
+func (i *installation) setUp() string {
+	i.t.Helper()
+	must.NoError(i.t, fleet.WaitFor(i.ctx, func() bool {
+		_, err := i.try("--credential", root, "set", "teams/root", "credential="+string(bearer.HashOf(root)))
+		return err == nil
+	}))
+	i.balsam("--credential", root, "set", "teams/andrade", "credential="+string(bearer.HashOf(credential)))
+	i.balsam("set", "services/payments", "deadline=60s")
+	i.balsam("set", "routes/deposits", "prefix=/deposits", "service=payments")
+	i.balsam("set", "accounts/school", "rate=1000", "burst=1000")
+	out := i.balsam("key", "grant", "school", "one", "--wait")
+	key, _, _ := strings.Cut(out, "\n")
+	return key
+}
+
+// get sends one request through a daemon and returns the status, or 0.
+func (i *installation) get(d *daemon, key string) int {
+	req, err := http.NewRequestWithContext(i.ctx, "GET", "http://"+d.Callers+"/deposits/1", nil)
+	must.NoError(i.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// await waits until requests through the daemon get the status.
+func (i *installation) await(d *daemon, key string, status int) {
+	i.t.Helper()
+	last := 0
+	err := fleet.WaitFor(i.ctx, func() bool {
+		last = i.get(d, key)
+		return last == status
+	})
+	must.NoError(i.t, err, must.Sprintf("last status through %s: %d", d.name, last))
+}
+
+// upload is a request that is under way: its answer has begun, its body has not
+// ended.
+type upload struct {
+	body *io.PipeWriter
+	resp *http.Response
+}
+
+const secondHalf = "second half"
+
+// firstHalf is longer than the buffers on its way, so that the answer begins.
+var firstHalf = strings.Repeat("first half, ", 8000)
+
+// begin sends the first half of a body and reads the start of its answer.
+func (i *installation) begin(d *daemon, key string) upload {
+	i.t.Helper()
+	reader, writer := io.Pipe()
+	go func() { _, _ = io.WriteString(writer, firstHalf) }()
+	req, err := http.NewRequestWithContext(i.ctx, "POST", "http://"+d.Callers+"/deposits/2", reader)
+	must.NoError(i.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(i.t, err)
+	must.EqOp(i.t, http.StatusOK, resp.StatusCode)
+	start := make([]byte, 1)
+	_, err = io.ReadFull(resp.Body, start)
+	must.NoError(i.t, err)
+	must.EqOp(i.t, firstHalf[:1], string(start))
+	return upload{body: writer, resp: resp}
+}
+
+// finish sends the second half and checks that the answer is whole.
+func (u upload) finish(t *testing.T) {
+	t.Helper()
+	_, err := io.WriteString(u.body, secondHalf)
+	must.NoError(t, err)
+	must.NoError(t, u.body.Close())
+	rest, err := io.ReadAll(u.resp.Body)
+	must.NoError(t, err)
+	must.EqOp(t, firstHalf[1:]+secondHalf, string(rest))
+	must.NoError(t, u.resp.Body.Close())
+}
+
+// A fleet of processes serves requests, lets a withdrawn key go, survives a killed
+// daemon and cuts off no request when a daemon is stopped.
+func TestProcesses(t *testing.T) {
+	i := install(t)
+	key := i.setUp()
+	first, second, third := i.daemons[0], i.daemons[1], i.daemons[2]
+	for _, d := range i.daemons {
+		i.await(d, key, http.StatusOK)
+	}
+
+	other, _, _ := strings.Cut(i.balsam("key", "grant", "school", "two", "--wait"), "\n")
+	i.await(first, other, http.StatusOK)
+	i.balsam("key", "withdraw", "two", "--wait")
+	for _, d := range i.daemons {
+		must.EqOp(t, http.StatusUnauthorized, i.get(d, other))
+		must.EqOp(t, http.StatusOK, i.get(d, key))
+	}
+
+	must.NoError(t, third.cmd.Process.Signal(syscall.SIGKILL))
+	third.end(i.ctx)
+	i.await(first, key, http.StatusOK)
+	i.await(second, key, http.StatusOK)
+
+	var uploads []upload
+	for range inFlight {
+		uploads = append(uploads, i.begin(first, key), i.begin(second, key))
+	}
+	must.NoError(t, second.cmd.Process.Signal(syscall.SIGTERM))
+	second.event(i.ctx, int(event.DaemonStopping))
+	for _, u := range uploads {
+		u.finish(t)
+	}
+	must.Zero(t, second.end(i.ctx))
+	i.await(first, key, http.StatusOK)
+
+	for _, p := range []*process{i.servers[0], first.process, i.log} {
+		must.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+		must.Zero(t, p.end(i.ctx))
+	}
+	// The daemon of this backend server is gone, so it can't drain there.
+	must.NoError(t, i.servers[1].cmd.Process.Signal(syscall.SIGTERM))
+	i.servers[1].end(i.ctx)
+}
