--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -228,15 +228,15 @@
 		must.EqOp(t, http.StatusOK, i.get(d, key))
 	}
 
+	var uploads []upload
+	for range inFlight {
+		uploads = append(uploads, i.begin(first, key), i.begin(second, key))
+	}
 	must.NoError(t, third.cmd.Process.Signal(syscall.SIGKILL))
 	third.end(i.ctx)
 	i.await(first, key, http.StatusOK)
 	i.await(second, key, http.StatusOK)
 
-	var uploads []upload
-	for range inFlight {
-		uploads = append(uploads, i.begin(first, key), i.begin(second, key))
-	}
 	must.NoError(t, second.cmd.Process.Signal(syscall.SIGTERM))
 	second.event(i.ctx, int(event.DaemonStopping))
 	for _, u := range uploads {
--- a/internal/renew/renew.go
+++ b/internal/renew/renew.go
@@ -45,18 +45,18 @@
 	cancel  context.CancelFunc
 }
 
-// Use is what a certificate is for.
-type Use string
+// use is what a certificate is for.
+type use string
 
 // The uses.
 const (
-	Callers Use = "callers"
-	Peers   Use = "peers"
+	callers use = "callers"
+	peers   use = "peers"
 )
 
 // watch is a set of files that are loaded together.
 type watch struct {
-	use    Use
+	use    use
 	files  []string
 	load   func() error
 	end    func() (time.Time, bool)
@@ -98,7 +98,7 @@
 	listen, trust := r.Common.Settings.Listen, r.Common.Settings.Trust
 	if listen.Cert != "" {
 		list = append(list, &watch{
-			use:   Callers,
+			use:   callers,
 			files: []string{listen.Cert, listen.Key},
 			load:  func() error { return r.callers.Load(listen.Cert, listen.Key) },
 			end:   r.callers.Expires,
@@ -106,7 +106,7 @@
 	}
 	if trust.Cert != "" {
 		list = append(list, &watch{
-			use:   Peers,
+			use:   peers,
 			files: []string{trust.Authority, trust.Cert, trust.Key},
 			load:  func() error { return r.Certs.Reload(trust) },
 			end:   func() (time.Time, bool) { return keypair.End(r.Certs.Own()) },
