--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -4,20 +4,27 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/units"
 )
 
 // Announce announces the daemon's backend server to it.
 func (d *Daemon) Announce() error {
+	return d.AnnounceAt(d.backend.Listener.Addr().String(), d.slots)
+}
+
+// AnnounceAt announces another backend server in place of the daemon's own.
+func (d *Daemon) AnnounceAt(address string, slots units.Slots) error {
 	body, err := json.Marshal(map[string]any{
 		"service": d.Service,
-		"address": d.backend.Listener.Addr().String(),
-		"slots":   d.slots,
+		"address": address,
+		"slots":   slots,
 	})
 	if err != nil {
 		return err
@@ -25,8 +32,37 @@
 	return d.tell(http.MethodPut, body)
 }
 
+// renew repeats the announcement until the daemon stops or its target leaves.
+func (d *Daemon) renew(ctx context.Context) {
+	ticker := time.NewTicker(renewPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			_ = d.Announce()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Follow reports the connections that open and close at the backend server.
+func (d *Daemon) Follow(note func(net.Conn, http.ConnState)) { d.follower.Store(&note) }
+
+func (d *Daemon) follow(c net.Conn, s http.ConnState) {
+	if note := d.follower.Load(); note != nil {
+		(*note)(c, s)
+	}
+}
+
+// Backend returns the base URL of the daemon's backend server.
+func (d *Daemon) Backend() string { return d.backend.URL }
+
 // Leave drains the daemon's backend server.
-func (d *Daemon) Leave() error { return d.tell(http.MethodDelete, nil) }
+func (d *Daemon) Leave() error {
+	d.renewing()
+	return d.tell(http.MethodDelete, nil)
+}
 
 func (d *Daemon) tell(method string, body []byte) error {
 	req, err := http.NewRequest(method, d.announce+"/targets/"+string(d.Standin.ID), bytes.NewReader(body))
@@ -46,9 +82,21 @@
 
 // Stop stops the daemon gracefully.
 func (d *Daemon) Stop() error {
-	err := d.App.Stop()
-	d.App = nil
-	return err
+	d.renewing()
+	d.stopped = true
+	return d.App.Stop()
+}
+
+// Restart stops a daemon gracefully and starts it again at the same addresses, as
+// a new incarnation. Callers must turn to other daemons meanwhile.
+func (f *Fleet) Restart(d *Daemon) error {
+	if err := d.Stop(); err != nil {
+		return err
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	return f.run(d)
 }
 
 // ready waits until every daemon knows every target and a roster of all daemons
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	certValid    = 24 * time.Hour
 	readyTimeout = 20 * time.Second
 	readyPause   = 20 * time.Millisecond
+	renewPeriod  = 10 * time.Second
 )
 
 // RootCredential is the root credential of every fleet.
@@ -83,12 +85,16 @@
 	// Operators is the base URL for operators.
 	Operators string
 
+	stopped  bool
 	announce string
 	slots    units.Slots
 	backend  *httptest.Server
 	sockets  app.Sockets
 	set      settings.Daemon
 	cert     *certs.Certs
+	follower atomic.Pointer[func(net.Conn, http.ConnState)]
+	// renewing ends the renewal of the announcement.
+	renewing context.CancelFunc
 }
 
 // New starts a fleet and waits until every daemon knows every target.
@@ -124,7 +130,9 @@
 	d := &Daemon{ID: id, Centre: f.plan.Centres[i%len(f.plan.Centres)], Service: s.ID, slots: s.Slots}
 	target := ids.Target(fmt.Sprintf("%s-%d", s.ID[len(ids.TeamOf(s.ID))+1:], i+1))
 	d.Standin = &standin.Standin{ID: target, Work: s.Work}
-	d.backend = httptest.NewServer(d.Standin)
+	d.backend = httptest.NewUnstartedServer(d.Standin)
+	d.backend.Config.ConnState = d.follow
+	d.backend.Start()
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -139,30 +147,40 @@
 	return nil
 }
 
+// listen opens the daemon's sockets, at the addresses it had before if any.
 func (d *Daemon) listen() error {
+	l := &d.set.Listen
 	var err error
-	if d.sockets.Callers, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Callers, err = net.Listen("tcp", address(l.Callers)); err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
-	if d.sockets.Announce, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Announce, err = net.Listen("tcp", address(l.Announce)); err != nil {
 		return errorx.Decorate(err, "listen for backend servers")
 	}
-	if d.sockets.Operators, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Operators, err = net.Listen("tcp", address(l.Operators)); err != nil {
 		return errorx.Decorate(err, "listen for operators")
 	}
-	if d.sockets.Peers, err = net.ListenPacket("udp", loopback); err != nil {
+	if d.sockets.Peers, err = net.ListenPacket("udp", address(l.Peers)); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
-	d.set.Listen.Callers = ids.Address(d.sockets.Callers.Addr().String())
-	d.set.Listen.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
-	d.set.Listen.Announce = ids.Address(d.sockets.Announce.Addr().String())
-	d.set.Listen.Operators = ids.Address(d.sockets.Operators.Addr().String())
-	d.Callers = "http://" + string(d.set.Listen.Callers)
-	d.Operators = "http://" + string(d.set.Listen.Operators)
-	d.announce = "http://" + string(d.set.Listen.Announce)
+	l.Callers = ids.Address(d.sockets.Callers.Addr().String())
+	l.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
+	l.Announce = ids.Address(d.sockets.Announce.Addr().String())
+	l.Operators = ids.Address(d.sockets.Operators.Addr().String())
+	d.Callers = "http://" + string(l.Callers)
+	d.Operators = "http://" + string(l.Operators)
+	d.announce = "http://" + string(l.Announce)
 	return nil
 }
 
+// address returns the address, or any free port for an empty one.
+func address(a ids.Address) string {
+	if a == "" {
+		return loopback
+	}
+	return string(a)
+}
+
 // start starts the daemons with the first few as seeds, and announces the targets.
 func (f *Fleet) start() error {
 	const seeds = 3
@@ -188,9 +206,13 @@
 		Logger:   f.plan.Logger.With(zap.String("daemon", string(d.ID))),
 		Sockets:  d.sockets,
 	}
+	d.stopped = false
 	if err := d.App.Start(context.Background()); err != nil {
 		return err
 	}
+	var ctx context.Context
+	ctx, d.renewing = context.WithCancel(context.Background())
+	go d.renew(ctx)
 	return d.Announce()
 }
 
@@ -206,8 +228,8 @@
 }
 
 func (d *Daemon) close() {
-	if d.App != nil {
-		_ = d.App.Stop()
+	if d.App != nil && !d.stopped {
+		_ = d.Stop()
 	}
 	if d.backend != nil {
 		d.backend.CloseClientConnections()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,17 +22,26 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/inflight"
+	"balsamwharf.example/balsamwharf/internal/pool"
 	"balsamwharf.example/balsamwharf/internal/renew"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
+	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
 
 const (
 	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	bufferSize        = 32 << 10
 )
 
+// buffers are shared by all answers.
+var buffers = pool.Buffers{Size: bufferSize}
+
+var errLeaving = verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "this daemon is leaving").After(time.Second)
+
 // Front is the HTTP server for callers.
 type Front struct {
 	Common *common.Common
@@ -41,6 +50,7 @@
 
 	entry  *entry.Entry
 	server *http.Server
+	flight inflight.Inflight
 }
 
 // Name implements service.Service.
@@ -76,7 +86,10 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           f,
+		Handler: f,
+
+		DisableGeneralOptionsHandler: true,
+
 		Protocols:         protocols,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -101,8 +114,20 @@
 // Stop refuses new connections and waits for the requests in flight.
 func (f *Front) Stop(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
+// Close refuses new requests from now on; Wait returns when the others ended.
+func (f *Front) Close() { f.flight.Close() }
+
+// Wait returns when no request is in flight any more. It must follow Close.
+func (f *Front) Wait(ctx context.Context) error { return f.flight.Wait(ctx) }
+
 // ServeHTTP runs one request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !f.flight.Begin() {
+		w.Header().Set("Connection", "close")
+		refuse(w, errLeaving)
+		return
+	}
+	defer f.flight.End()
 	arrival, err := arrivalOf(r)
 	if err != nil {
 		refuse(w, err)
@@ -131,11 +156,35 @@
 func write(w http.ResponseWriter, a *call.Answer) error {
 	copyHeader(w.Header(), a.Header)
 	w.Header().Set("Verdict", "ran")
+	for name := range a.Trailer {
+		w.Header().Add("Trailer", name)
+	}
 	w.WriteHeader(a.Status)
-	_, err := io.Copy(flushing{w}, a.Body)
+	if err := copyBody(w, a); err != nil {
+		return err
+	}
+	for name, values := range a.Trailer {
+		w.Header()[name] = values
+	}
+	return nil
+}
+
+// copyBody hands pieces of unknown length on at once, so that slow answers reach
+// the caller. A short answer of known length goes out in one piece.
+func copyBody(w http.ResponseWriter, a *call.Answer) error {
+	buffer := buffers.Get()
+	defer buffers.Put(buffer)
+	to := io.Writer(flushing{w})
+	if a.Length >= 0 && a.Length <= bufferSize {
+		to = onlyWriter{w}
+	}
+	_, err := io.CopyBuffer(to, a.Body, *buffer)
 	return err
 }
 
+// onlyWriter hides ReadFrom, which would take a buffer of its own.
+type onlyWriter struct{ io.Writer }
+
 // flushing hands each piece on at once, so that slow answers reach the caller.
 type flushing struct{ w http.ResponseWriter }
 
