--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -71,7 +71,7 @@
 		}
 	}
 	config := &quic.Config{MaxIdleTimeout: idleTimeout, MaxIncomingStreams: maxStreams}
-	if a.listener, err = quic.Listen(a.Socket, a.Certs.Server(), config); err != nil {
+	if a.listener, err = quic.Listen(a.Socket, a.Certs.Server(a.refused), config); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
 	go a.accept(ctx)
@@ -86,6 +86,11 @@
 	return errors.Join(late, a.listener.Close(), a.Socket.Close())
 }
 
+// refused logs a peer that did not prove its name.
+func (a *Accept) refused(from net.Addr, err error) {
+	a.Common.Warn(event.PeerRefused, zap.Stringer("from", from), zap.Error(err))
+}
+
 // Wait refuses new requests and returns when those in progress have ended and
 // their answers have had time to arrive. Control messages are served on.
 func (a *Accept) Wait(ctx context.Context) error {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -25,6 +24,7 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/operators"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/renew"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -49,17 +49,11 @@
 	kernel kernel.Kernel
 }
 
-// Sockets are listeners that are already open; nil ones are opened at the
-// addresses in the settings.
-type Sockets struct {
-	Callers   net.Listener
-	Announce  net.Listener
-	Operators net.Listener
-	Peers     net.PacketConn
-}
-
 // Start starts the daemon's services.
 func (a *App) Start(ctx context.Context) error {
+	if err := a.Sockets.settle(&a.Settings.Listen); err != nil {
+		return err
+	}
 	c := &common.Common{
 		Log:       a.Logger,
 		Settings:  a.Settings,
@@ -75,15 +69,22 @@
 	if err := a.kernel.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
-	c.Info(event.DaemonStarted, zap.String("daemon", string(a.Settings.Identity.Daemon)))
+	listen := a.Settings.Listen
+	c.Info(event.DaemonStarted,
+		zap.String("daemon", string(a.Settings.Identity.Daemon)),
+		zap.String("callers", string(listen.Callers)),
+		zap.String("peers", string(listen.Peers)),
+		zap.String("operators", string(listen.Operators)),
+		zap.String("announce", string(listen.Announce)))
 	return nil
 }
 
-// listeners returns the services that take connections from outside, and the one
+// listeners returns the services that hold sockets and certificates, and the one
 // that ends their work.
 func (a *App) listeners() []service.Service {
 	c := a.common
 	return []service.Service{
+		&renew.Renew{Common: c, Certs: a.Certs},
 		&accept.Accept{Common: c, Certs: a.Certs, Socket: a.Sockets.Peers},
 		&announce.Announce{Common: c, Listener: a.Sockets.Announce},
 		&operators.Operators{Common: c, Log: a.Log, Certs: a.Certs, Level: a.Level, Listener: a.Sockets.Operators},
--- a/internal/guard/world_test.go
+++ b/internal/guard/world_test.go
@@ -180,12 +180,12 @@
 	w.mu.Unlock()
 	if lost || peer == nil {
 		if late && peer != nil {
-			w.sendLate(peer, m)
+			w.sendLate(peer, d.entry.Daemon, m)
 		}
 		<-ctx.Done()
 		return nil, errLost
 	}
-	reply := peer.answer(ctx, m)
+	reply := peer.answer(ctx, d.entry.Daemon, m)
 	if back {
 		<-ctx.Done()
 		return nil, errLost
@@ -195,24 +195,24 @@
 }
 
 // sendLate makes a message arrive long after its sender has given it up.
-func (w *world) sendLate(peer *daemon, m message.Message) {
+func (w *world) sendLate(peer *daemon, from ids.Daemon, m message.Message) {
 	w.flights.Add(1)
 	time.AfterFunc(3*time.Second, func() {
 		defer w.flights.Done()
-		peer.answer(context.Background(), m)
+		peer.answer(context.Background(), from, m)
 	})
 }
 
-func (d *daemon) answer(ctx context.Context, m message.Message) message.Message {
+func (d *daemon) answer(ctx context.Context, from ids.Daemon, m message.Message) message.Message {
 	switch m := m.(type) {
 	case message.GuardBegin:
 		return d.guard.Began(ctx, m)
 	case message.GuardLook:
 		return d.guard.Look(m)
 	case message.GuardCopy:
-		return d.guard.Copy(m)
+		return d.guard.Copy(from, m)
 	case message.GuardEnd:
-		return d.guard.End(ctx, m)
+		return d.guard.End(ctx, from, m)
 	default:
 		panic(fmt.Sprintf("unexpected %T", m))
 	}
--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -12,6 +12,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/bearer"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/fakenet"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
@@ -36,6 +37,7 @@
 func (f fixed) Stop(context.Context) error                  { return nil }
 func (f fixed) View(read func(*replay.State))               { read(f.state) }
 func (f fixed) Confirmed() bool                             { return true }
+func (f fixed) Newest() ids.Offset { return f.roster.Load().Version }
 func (f fixed) Roster() roster.Roster                       { return *f.roster.Load() }
 func (f fixed) Self() (ids.Daemon, ids.Incarnation)         { return "vm00000", 1 }
 
@@ -91,9 +93,10 @@
 	w.lender = &lender.Lender{Common: c}
 	f := fixed{state: accounts(count), roster: w.roster}
 	k := &kernel.Kernel{}
-	tailed, confirmed := f, f
-	tailed.name, confirmed.name = "tail", "confirm"
-	for _, s := range []service.Service{c.Clock, tailed, confirmed, w.lender} {
+	tailed, confirmed, forced := f, f, f
+	tailed.name, confirmed.name, forced.name = "tail", "confirm", "force"
+	var net fakenet.Net
+	for _, s := range []service.Service{c.Clock, tailed, confirmed, forced, net.Join("vm0", nil), w.lender} {
 		k.Add(s)
 	}
 	must.NoError(tb, k.Start(tb.Context()))
