Start the burn plot at 0 and label its minutes

The rendered page showed an axis down to -1 for a service without bad requests, and minutes as -50.00. The changed page compiles; it was not rendered again.

--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -27,6 +27,15 @@
 	plotHeight = 5 * vg.Centimeter
 )
 
+// minuteTicks label the last hour.
+var minuteTicks = []plot.Tick{
+	{Value: -60, Label: "60"},
+	{Value: -45, Label: "45"},
+	{Value: -30, Label: "30"},
+	{Value: -15, Label: "15"},
+	{Value: 0, Label: "0"},
+}
+
 // view is what the page shows.
 type view struct {
 	Answered, Daemons int
@@ -88,12 +97,14 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s: burn rate by minute", l.Service)
 	p.X.Label.Text = "minutes ago"
-	p.Y.Min = 0
+	p.X.Tick.Marker = plot.ConstantTicks(minuteTicks)
 	line, err := plotter.NewLine(points(l.Series, float64(l.Objective)))
 	if err != nil {
 		return "", err
 	}
 	p.Add(plotter.NewGrid(), line)
+	p.Y.Min = 0
+	p.Y.Max = max(p.Y.Max, 1)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
