--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -123,10 +123,13 @@
 
 // announce announces the backend server unless it drains.
 func (n *node) announce(l *life) {
+	if l.pass(l.ctx) != nil {
+		return
+	}
 	n.mu.Lock()
 	leaving := !n.drained.IsZero()
 	n.mu.Unlock()
-	if leaving || l.pass(l.ctx) != nil {
+	if leaving {
 		return
 	}
 	l.gatekeeper.Announce(gatekeeper.Announcement{ID: n.target, Service: n.service, Address: "127.0.0.1:1", Slots: slots})
