--- /dev/null
+++ b/internal/guard/bench_test.go
@@ -0,0 +1,59 @@
+package guard
+
+import (
+	"fmt"
+	"testing"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mark"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/standing"
+	"balsamwharf.example/balsamwharf/internal/tenure"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+// still is a daemon that is always confirmed.
+type still struct{ standing.Standing }
+
+func (still) Self() (ids.Daemon, ids.Incarnation) { return "vm0000", 1 }
+
+// history returns rosters of which each restarts one daemon.
+func history(daemons, rosters int) []roster.Roster {
+	now := roster.Roster{}
+	for i := range daemons {
+		now.Entries = append(now.Entries, roster.Entry{
+			Daemon: ids.Daemon(fmt.Sprintf("vm%04d", i)), Incarnation: 1, Centre: ids.Centre(fmt.Sprint(i % 13)),
+		})
+	}
+	var list []roster.Roster
+	for i := range rosters {
+		next := roster.Roster{Version: ids.Offset(i + 1), Entries: append([]roster.Entry(nil), now.Entries...)}
+		next.Entries[i+1].Incarnation++
+		now = next
+		list = append(list, next)
+	}
+	return list
+}
+
+// BenchmarkNewKey finds the pairs of a new key under the rosters of the window.
+func BenchmarkNewKey(b *testing.B) {
+	for _, rosters := range []int{1, 16, 64} {
+		b.Run(fmt.Sprint(rosters, " rosters"), func(b *testing.B) {
+			list := history(2000, rosters)
+			g := &Guard{standing: still{}, tenure: tenure.Tenure{Gap: Window, Limit: rememberedRosters}}
+			for i, r := range list {
+				g.tenure.Observe(units.Instant(i+1), r)
+			}
+			newest := list[len(list)-1]
+			now := units.Instant(Window) + 1
+			n := 0
+			for b.Loop() {
+				n++
+				key := mark.Key{Account: "andrade/school", Key: fmt.Sprint(n)}
+				pair(key, newest)
+				g.uncovered(now, key)
+				g.steady(now, key, newest)
+			}
+		})
+	}
+}
