--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -12,7 +12,7 @@
 	"context"
 	"errors"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -24,6 +24,7 @@
 	"balsamwharf.example/balsamwharf/internal/dispatch"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/inflight"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/wire"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -33,6 +34,9 @@
 const (
 	idleTimeout = 30 * time.Second
 	maxStreams  = 4096
+	// deliveryTime is what the last bytes of an answer may need, with repeats of
+	// lost packets, before the socket closes.
+	deliveryTime = time.Second
 )
 
 // Accept listens for other daemons.
@@ -44,7 +48,9 @@
 
 	dispatch *dispatch.Dispatch
 	listener *quic.Listener
-	streams  sync.WaitGroup
+	streams  inflight.Inflight
+	requests inflight.Inflight
+	served   atomic.Bool
 }
 
 // Name implements service.Service.
@@ -72,19 +78,25 @@
 	return nil
 }
 
-// Stop waits for the streams in progress and closes the listener.
+// Stop waits for the streams in progress and closes the listener. Streams that open
+// meanwhile are served, but not waited for, so that Stop comes to an end.
 func (a *Accept) Stop(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		a.streams.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	a.streams.Close()
+	late := a.streams.Wait(ctx)
+	return errors.Join(late, a.listener.Close(), a.Socket.Close())
+}
+
+// Wait refuses new requests and returns when those in progress have ended and
+// their answers have had time to arrive. Control messages are served on.
+func (a *Accept) Wait(ctx context.Context) error {
+	a.requests.Close()
+	if err := a.requests.Wait(ctx); err != nil {
+		return err
+	}
+	if !a.served.Load() {
+		return nil
 	}
-	err := a.listener.Close()
-	return errors.Join(err, a.Socket.Close())
+	return a.Common.Clock.Sleep(ctx, deliveryTime)
 }
 
 // accept starts a task for each peer that connects.
@@ -111,14 +123,18 @@
 		if err != nil {
 			return
 		}
-		a.streams.Add(1)
-		go a.exchange(ctx, from, stream)
+		counted := a.streams.Begin()
+		go func() {
+			a.exchange(ctx, from, stream)
+			if counted {
+				a.streams.End()
+			}
+		}()
 	}
 }
 
 // exchange is the task of one stream: a message, its reply and their bodies.
 func (a *Accept) exchange(ctx context.Context, from ids.Daemon, stream *quic.Stream) {
-	defer a.streams.Done()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(stream.Context(), cancel)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -9,10 +9,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"sort"
 	"sync"
 
+	"balsamwharf.example/balsamwharf/internal/digest"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/timer"
@@ -27,8 +28,14 @@
 
 	mu        sync.RWMutex
 	members   map[ids.Daemon]known
-	buried    map[ids.Daemon]grave
+	forgotten map[ids.Daemon]tombstone
 	byService map[ids.Service]list
+	// digest sums up the members that have described themselves.
+	digest digest.Digest
+	sorted sorted
+	// changes counts all changes, moves those that change who is reachable.
+	changes uint64
+	moves   uint64
 }
 
 // known is a member as this daemon sees it.
@@ -85,21 +92,68 @@
 	if ok && !old.Precedes(m) {
 		return false
 	}
-	if g, ok := d.buried[m.Daemon]; ok && !g.age.Precedes(m.Age()) {
+	if g, ok := d.forgotten[m.Daemon]; ok && !g.age.Precedes(m.Age()) {
 		return false
 	}
-	delete(d.buried, m.Daemon)
+	delete(d.forgotten, m.Daemon)
 	if d.members == nil {
 		d.members = map[ids.Daemon]known{}
 		d.byService = map[ids.Service]list{}
+		d.digest = digest.Digest{}
 	}
+	d.sum(old.Member)
+	d.sum(m)
 	d.unindex(old)
 	k := known{Member: m, seen: d.now()}
 	d.members[m.Daemon] = k
 	d.index(k)
+	d.changed(!ok || old.reachable() != k.reachable())
 	return true
 }
 
+func (k known) reachable() bool { return !k.Gone && !k.lost }
+
+// changed notes a change. The lock is held.
+func (d *Directory) changed(moved bool) {
+	d.sorted = sorted{}
+	d.changes++
+	if moved {
+		d.moves++
+	}
+}
+
+// Changes counts the changes of any member.
+func (d *Directory) Changes() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changes
+}
+
+// Moves counts the changes of which daemons are reachable.
+func (d *Directory) Moves() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.moves
+}
+
+// sum adds a description to the digest or takes it away again. Seeds that have not
+// described themselves do not count.
+func (d *Directory) sum(m member.Member) {
+	if m.Incarnation != 0 {
+		d.digest.Toggle(m)
+	}
+}
+
+// Digest returns the digest of all members that have described themselves.
+func (d *Directory) Digest() digest.Digest {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.digest == nil {
+		return digest.Digest{}
+	}
+	return maps.Clone(d.digest)
+}
+
 // SetLost notes that the daemon can't be reached by its peers. It reports whether
 // that is news.
 func (d *Directory) SetLost(id ids.Daemon) bool {
@@ -113,6 +167,7 @@
 	k.lost, k.lostSince = true, d.now()
 	d.members[id] = k
 	d.index(k)
+	d.changed(true)
 	return true
 }
 
@@ -131,34 +186,6 @@
 	return k.Member, ok
 }
 
-// Members returns all daemons in order of their names.
-func (d *Directory) Members() []member.Member {
-	return d.where(func(known) bool { return true })
-}
-
-// Reachable returns the daemons that are neither gone nor lost, in order.
-func (d *Directory) Reachable() []member.Member {
-	return d.where(func(k known) bool { return !k.Gone && !k.lost })
-}
-
-// Missing returns the daemons that are lost, in order.
-func (d *Directory) Missing() []member.Member {
-	return d.where(func(k known) bool { return !k.Gone && k.lost })
-}
-
-func (d *Directory) where(keep func(known) bool) []member.Member {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	all := make([]member.Member, 0, len(d.members))
-	for _, k := range d.members {
-		if keep(k) {
-			all = append(all, k.Member)
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Daemon < all[j].Daemon })
-	return all
-}
-
 // Targets returns the targets of a service that take new work. Those of lost
 // daemons come only when there are no others. The caller must not change the
 // slice.
--- a/internal/force/force.go
+++ b/internal/force/force.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"balsamwharf.example/balsamwharf/internal/chain"
@@ -51,17 +52,12 @@
 
 // Start implements service.Service.
 func (f *Force) Start(ctx context.Context, finder service.Finder) error {
-	var err error
-	if f.tail, err = kernel.Find[*tail.Tail](finder, "tail"); err != nil {
-		return err
-	}
-	if f.directory, err = kernel.Find[*directory.Directory](finder, "directory"); err != nil {
-		return err
-	}
-	if f.gossip, err = kernel.Find[*gossip.Gossip](finder, "gossip"); err != nil {
-		return err
-	}
-	if f.peers, err = kernel.Find[peer.Caller](finder, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(finder, "tail", &f.tail),
+		kernel.Bind(finder, "directory", &f.directory),
+		kernel.Bind(finder, "gossip", &f.gossip),
+		kernel.Bind(finder, "dial", &f.peers),
+	); err != nil {
 		return err
 	}
 	go f.run(ctx)
@@ -128,6 +124,7 @@
 
 // step takes over the state that this daemon has read and what gossip says, and
 // advances what is in force. It reports whether every record read is in force.
+// The members are looked at only while a record is not.
 func (f *Force) step() (done bool) {
 	var kept []roster.Roster
 	var since, position, settled ids.Offset
@@ -135,6 +132,9 @@
 		kept, since = s.Rosters()
 		position, settled = s.Offset(), s.Settled()
 	})
+	if f.InForce(position) {
+		return true
+	}
 	own := f.gossip.Own()
 	members := f.directory.Members()
 	f.mu.Lock()
--- a/internal/lender/handover.go
+++ b/internal/lender/handover.go
@@ -34,7 +34,7 @@
 			l.releaseEntrusted(now, id, s)
 			continue
 		}
-		holders := share.Spread(share.Thing(id), r, len(s.holders))
+		holders := l.spread(id, len(s.holders), r)
 		if l.holds(r, holders) && len(holders) == len(s.holders) {
 			s.holders = holders
 			continue
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -26,8 +26,6 @@
 	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/replay"
 	"balsamwharf.example/balsamwharf/internal/roster"
-	"balsamwharf.example/balsamwharf/internal/settings"
-	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tenure"
 	"balsamwharf.example/balsamwharf/internal/trust"
@@ -57,8 +55,11 @@
 
 	rememberedRosters = 8
 	cachedShares      = 4096
-	trustedNotes      = 16384
-	trustTime         = 2 * time.Minute
+	// cachedSpreads holds the holders of the accounts in use under each of the
+	// remembered rosters.
+	cachedSpreads = 16384
+	trustedNotes  = 16384
+	trustTime     = 2 * time.Minute
 )
 
 // Viewer shows the shared settings; package tail implements it.
@@ -89,6 +90,7 @@
 	forced  forced
 	slots   map[ids.Account]*slot
 	shares  lru.Cache[shareKey, seat]
+	spreads lru.Cache[spreadKey, []ids.Daemon]
 	trust   trust.Trust
 	// taken holds the roster under which each account's balance was taken over.
 	taken map[ids.Account]ids.Offset
@@ -101,20 +103,6 @@
 	dropped ids.Offset
 }
 
-// seat is an account's share under the newest roster, and since when this daemon
-// has held it under every roster that it read.
-type seat struct {
-	share share.Share
-	held  bool
-	since units.Instant
-}
-
-// shareKey names a share under the newest roster.
-type shareKey struct {
-	account ids.Account
-	limits  settings.Account
-}
-
 // Name implements service.Service.
 func (l *Lender) Name() service.Name { return "lender" }
 
@@ -141,6 +129,7 @@
 	l.tenure = tenure.Tenure{Gap: observeGap, Limit: rememberedRosters}
 	l.slots = map[ids.Account]*slot{}
 	l.shares = lru.Cache[shareKey, seat]{Limit: cachedShares}
+	l.spreads = lru.Cache[spreadKey, []ids.Daemon]{Limit: cachedSpreads}
 	l.trust = trust.Trust{Limit: trustedNotes, Keep: trustTime}
 	l.taken = map[ids.Account]ids.Offset{}
 	l.lent = map[trust.Name]bool{}
--- a/internal/lender/slot.go
+++ b/internal/lender/slot.go
@@ -163,16 +163,6 @@
 	return roster.Run{Daemon: d, Incarnation: incarnation}
 }
 
-// seatOf finds an account's share and since when this daemon has held it.
-func (l *Lender) seatOf(id ids.Account, limits settings.Account, r roster.Roster) seat {
-	own := seat{share: share.Of(id, limits, r)}
-	own.since, own.held = l.tenure.Since(func(one roster.Roster) bool {
-		holders := share.Of(id, limits, one).Holders
-		return len(holders) == len(own.share.Holders) && l.holds(one, holders)
-	})
-	return own
-}
-
 // limits returns an account's settings with their offsets.
 func (l *Lender) limits(id ids.Account) (settings.Account, replay.Entry, bool) {
 	var a settings.Account
--- a/internal/seating/seating.go
+++ b/internal/seating/seating.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,14 @@
 	waiting   bool
 	since     units.Instant
 	base      ids.Offset
+	fits      sight
+}
+
+// sight is what a plan was made from.
+type sight struct {
+	changes uint64
+	base    ids.Offset
+	known   bool
 }
 
 // Name implements service.Service.
@@ -72,20 +81,13 @@
 
 // Start implements service.Service.
 func (s *Seating) Start(ctx context.Context, f service.Finder) error {
-	var err error
-	if s.tail, err = kernel.Find[*tail.Tail](f, "tail"); err != nil {
-		return err
-	}
-	if s.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
-		return err
-	}
-	if s.confirm, err = kernel.Find[*confirm.Confirm](f, "confirm"); err != nil {
-		return err
-	}
-	if s.force, err = kernel.Find[*force.Force](f, "force"); err != nil {
-		return err
-	}
-	if s.peers, err = kernel.Find[peer.Caller](f, "dial"); err != nil {
+	if err := errors.Join(
+		kernel.Bind(f, "tail", &s.tail),
+		kernel.Bind(f, "directory", &s.directory),
+		kernel.Bind(f, "confirm", &s.confirm),
+		kernel.Bind(f, "force", &s.force),
+		kernel.Bind(f, "dial", &s.peers),
+	); err != nil {
 		return err
 	}
 	go s.run(ctx)
@@ -108,13 +110,21 @@
 	}
 }
 
-// step proposes a change when one is needed and this daemon's turn has come.
+// step proposes a change when one is needed and this daemon's turn has come. It
+// plans nothing while the roster fits and no member changes.
 func (s *Seating) step(ctx context.Context, now units.Instant) {
 	newest := s.newest()
 	self, _ := s.confirm.Self()
+	seen := sight{changes: s.directory.Changes(), base: newest.Version, known: true}
 	s.watch.note(s.directory.Missing(), now)
+	if seen == s.fits {
+		return
+	}
 	live := s.live(now)
 	_, needed := seats.Plan(newest, live)
+	if !needed && s.watch.settled(now) {
+		s.fits = seen
+	}
 	if !needed || !s.confirm.Confirmed() || !s.force.InForce(newest.Version) {
 		s.waiting = false
 		return
@@ -122,7 +132,7 @@
 	if !s.waiting || s.base != newest.Version {
 		s.waiting, s.since, s.base = true, now, newest.Version
 	}
-	if now.Sub(s.since) < delay(seats.Rank(newest, self)) {
+	if now.Sub(s.since) < delay(seats.Rank(newest, live, self)) {
 		return
 	}
 	s.waiting = false
