--- a/internal/lender/lender_test.go
+++ b/internal/lender/lender_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,8 +13,8 @@
 	"github.com/shoenig/test/must"
 
 	"balsamwharf.example/balsamwharf/internal/bearer"
+	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
-	"balsamwharf.example/balsamwharf/internal/fakenet"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
@@ -36,11 +38,22 @@
 func (f fixed) Start(context.Context, service.Finder) error { return nil }
 func (f fixed) Stop(context.Context) error                  { return nil }
 func (f fixed) View(read func(*replay.State))               { read(f.state) }
+func (f fixed) Newest() ids.Offset                          { return f.state.Offset() }
 func (f fixed) Confirmed() bool                             { return true }
-func (f fixed) Newest() ids.Offset { return f.roster.Load().Version }
 func (f fixed) Roster() roster.Roster                       { return *f.roster.Load() }
 func (f fixed) Self() (ids.Daemon, ids.Incarnation)         { return "vm00000", 1 }
 
+// Call and Send stand for a network that loses everything.
+func (f fixed) Call(context.Context, ids.Daemon, message.Message) (message.Message, error) {
+	return nil, errLost
+}
+
+func (f fixed) Send(context.Context, ids.Daemon, call.Head, io.Reader) (*call.Answer, error) {
+	return nil, errLost
+}
+
+var errLost = errors.New("lost")
+
 // next returns the roster with another incarnation of one daemon.
 func next(r roster.Roster, i int) roster.Roster {
 	n := roster.Roster{Version: r.Version + 1, Entries: append([]roster.Entry(nil), r.Entries...)}
@@ -93,10 +106,9 @@
 	w.lender = &lender.Lender{Common: c}
 	f := fixed{state: accounts(count), roster: w.roster}
 	k := &kernel.Kernel{}
-	tailed, confirmed, forced := f, f, f
-	tailed.name, confirmed.name, forced.name = "tail", "confirm", "force"
-	var net fakenet.Net
-	for _, s := range []service.Service{c.Clock, tailed, confirmed, forced, net.Join("vm0", nil), w.lender} {
+	tailed, confirmed, forced, dialled := f, f, f, f
+	tailed.name, confirmed.name, forced.name, dialled.name = "tail", "confirm", "force", "dial"
+	for _, s := range []service.Service{c.Clock, tailed, confirmed, forced, dialled, w.lender} {
 		k.Add(s)
 	}
 	must.NoError(tb, k.Start(tb.Context()))
