--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Backend returns the base URL of the daemon's backend server.
+func (d *Daemon) Backend() string { return d.backend.URL }
+
 // Leave drains the daemon's backend server.
 func (d *Daemon) Leave() error {
 	d.renewing()
@@ -80,9 +83,20 @@
 // Stop stops the daemon gracefully.
 func (d *Daemon) Stop() error {
 	d.renewing()
-	err := d.App.Stop()
-	d.App = nil
-	return err
+	d.stopped = true
+	return d.App.Stop()
+}
+
+// Restart stops a daemon gracefully and starts it again at the same addresses, as
+// a new incarnation. Callers must turn to other daemons meanwhile.
+func (f *Fleet) Restart(d *Daemon) error {
+	if err := d.Stop(); err != nil {
+		return err
+	}
+	if err := d.listen(); err != nil {
+		return err
+	}
+	return f.run(d)
 }
 
 // ready waits until every daemon knows every target and a roster of all daemons
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,7 @@
 	// Operators is the base URL for operators.
 	Operators string
 
+	stopped  bool
 	announce string
 	slots    units.Slots
 	backend  *httptest.Server
@@ -146,30 +147,40 @@
 	return nil
 }
 
+// listen opens the daemon's sockets, at the addresses it had before if any.
 func (d *Daemon) listen() error {
+	l := &d.set.Listen
 	var err error
-	if d.sockets.Callers, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Callers, err = net.Listen("tcp", address(l.Callers)); err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
-	if d.sockets.Announce, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Announce, err = net.Listen("tcp", address(l.Announce)); err != nil {
 		return errorx.Decorate(err, "listen for backend servers")
 	}
-	if d.sockets.Operators, err = net.Listen("tcp", loopback); err != nil {
+	if d.sockets.Operators, err = net.Listen("tcp", address(l.Operators)); err != nil {
 		return errorx.Decorate(err, "listen for operators")
 	}
-	if d.sockets.Peers, err = net.ListenPacket("udp", loopback); err != nil {
+	if d.sockets.Peers, err = net.ListenPacket("udp", address(l.Peers)); err != nil {
 		return errorx.Decorate(err, "listen for peers")
 	}
-	d.set.Listen.Callers = ids.Address(d.sockets.Callers.Addr().String())
-	d.set.Listen.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
-	d.set.Listen.Announce = ids.Address(d.sockets.Announce.Addr().String())
-	d.set.Listen.Operators = ids.Address(d.sockets.Operators.Addr().String())
-	d.Callers = "http://" + string(d.set.Listen.Callers)
-	d.Operators = "http://" + string(d.set.Listen.Operators)
-	d.announce = "http://" + string(d.set.Listen.Announce)
+	l.Callers = ids.Address(d.sockets.Callers.Addr().String())
+	l.Peers = ids.Address(d.sockets.Peers.LocalAddr().String())
+	l.Announce = ids.Address(d.sockets.Announce.Addr().String())
+	l.Operators = ids.Address(d.sockets.Operators.Addr().String())
+	d.Callers = "http://" + string(l.Callers)
+	d.Operators = "http://" + string(l.Operators)
+	d.announce = "http://" + string(l.Announce)
 	return nil
 }
 
+// address returns the address, or any free port for an empty one.
+func address(a ids.Address) string {
+	if a == "" {
+		return loopback
+	}
+	return string(a)
+}
+
 // start starts the daemons with the first few as seeds, and announces the targets.
 func (f *Fleet) start() error {
 	const seeds = 3
@@ -195,6 +206,7 @@
 		Logger:   f.plan.Logger.With(zap.String("daemon", string(d.ID))),
 		Sockets:  d.sockets,
 	}
+	d.stopped = false
 	if err := d.App.Start(context.Background()); err != nil {
 		return err
 	}
@@ -218,11 +230,8 @@
 // close ends everything of the daemon. Its App stays, since its figures can be read
 // after the end.
 func (d *Daemon) close() {
-	if d.renewing != nil {
-		d.renewing()
-	}
-	if d.App != nil {
-		_ = d.App.Stop()
+	if d.App != nil && !d.stopped {
+		_ = d.Stop()
 	}
 	if d.backend != nil {
 		d.backend.CloseClientConnections()
