Keep connections between daemons for 30 s without use, not 3 s

Cause: the idle timeout of 3 s was also the only way in which a lost daemon was noticed, so a request that was silent for longer on an otherwise unused connection would have been cut as maybe, and a daemon that asks others seldom made a handshake for nearly every question (docs/CAPACITY.md). Now connections are kept alive, closed after 30 s without an exchange, and replaced when the other daemon is another incarnation or stayed silent for the whole time of an exchange.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -24,7 +24,9 @@
 	"balsamwharf.example/balsamwharf/internal/directory"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/internal/wire"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
@@ -32,9 +34,11 @@
 
 const (
 	handshakeTimeout = time.Second
-	// lossTimeout is how long a request waits without any byte from the peer
-	// before its connection counts as lost; QUIC keeps it alive meanwhile.
-	lossTimeout = 3 * time.Second
+	// keepAlive keeps a connection open while an exchange is silent; links that
+	// are not used are closed by sweep.
+	keepAlive   = 10 * time.Second
+	idleTimeout = 30 * time.Second
+	sweepPeriod = 10 * time.Second
 )
 
 // Dial holds the connections to other daemons.
@@ -53,17 +57,17 @@
 // requests that arrive meanwhile share the new connection.
 type peer struct {
 	lock chan struct{}
-	conn *quic.Conn
+	link *link
 }
 
 // Name implements service.Service.
 func (d *Dial) Name() service.Name { return "dial" }
 
 // Needs implements service.Service.
-func (d *Dial) Needs() []service.Name { return []service.Name{"directory"} }
+func (d *Dial) Needs() []service.Name { return []service.Name{"timer", "directory"} }
 
 // Start implements service.Service.
-func (d *Dial) Start(_ context.Context, f service.Finder) error {
+func (d *Dial) Start(ctx context.Context, f service.Finder) error {
 	var err error
 	if d.directory, err = kernel.Find[*directory.Directory](f, "directory"); err != nil {
 		return err
@@ -78,6 +82,7 @@
 	}
 	d.transport = &quic.Transport{Conn: socket}
 	d.peers = map[ids.Daemon]*peer{}
+	go d.sweep(ctx)
 	return nil
 }
 
@@ -88,45 +93,25 @@
 
 // Call sends a message and returns the reply.
 func (d *Dial) Call(ctx context.Context, to ids.Daemon, m message.Message) (message.Message, error) {
-	stream, err := d.open(ctx, to)
+	x, err := d.open(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	defer stream.CancelRead(0)
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
-	defer stop()
-	if err := wire.Write(stream, m); err != nil {
+	defer x.end()
+	if err := wire.Write(x, m); err != nil {
 		return nil, errorx.Decorate(err, "send %T to %s", m, to)
 	}
-	_ = stream.Close()
-	reply, err := wire.Read(stream)
+	_ = x.Close()
+	reply, err := x.answer(ctx)
 	if err != nil {
 		return nil, errorx.Decorate(err, "read reply of %s", to)
 	}
 	return reply, nil
 }
 
-// abort ends both directions of a stream.
-func abort(s *quic.Stream) {
-	s.CancelRead(0)
-	s.CancelWrite(0)
-}
-
-// open returns a new stream to the daemon.
-func (d *Dial) open(ctx context.Context, to ids.Daemon) (*quic.Stream, error) {
-	conn, err := d.connect(ctx, to)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := conn.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, errorx.Decorate(err, "open stream to %s", to)
-	}
-	return stream, nil
-}
-
-// connect returns the connection to the daemon and dials where there is none.
-func (d *Dial) connect(ctx context.Context, to ids.Daemon) (*quic.Conn, error) {
+// connect returns the link to the daemon with an exchange begun on it, and dials
+// where there is none or where the daemon was restarted.
+func (d *Dial) connect(ctx context.Context, to ids.Daemon) (*link, error) {
 	p := d.peer(to)
 	select {
 	case p.lock <- struct{}{}:
@@ -134,16 +119,24 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if p.conn != nil && p.conn.Context().Err() == nil {
-		return p.conn, nil
+	m, ok := d.directory.Member(to)
+	if !ok {
+		return nil, errorx.IllegalArgument.New("daemon %s is not known", to)
 	}
-	conn, err := d.dial(ctx, to)
+	now := d.Common.Clock.Now()
+	if p.link != nil && p.link.incarnation == m.Incarnation && p.link.begin(now) {
+		return p.link, nil
+	}
+	if p.link != nil {
+		p.link.retire()
+	}
+	conn, err := d.dial(ctx, m)
 	if err != nil {
 		d.note(to, err)
 		return nil, errorx.Decorate(err, "connect to %s", to)
 	}
-	p.conn = conn
-	return conn, nil
+	p.link = &link{conn: conn, incarnation: m.Incarnation, active: 1, used: now}
+	return p.link, nil
 }
 
 // note logs why a connection failed. A peer that did not prove its name is more
@@ -168,19 +161,57 @@
 	return p
 }
 
-func (d *Dial) dial(ctx context.Context, to ids.Daemon) (*quic.Conn, error) {
-	m, ok := d.directory.Member(to)
-	if !ok {
-		return nil, errorx.IllegalArgument.New("daemon %s is not known", to)
-	}
+func (d *Dial) dial(ctx context.Context, m member.Member) (*quic.Conn, error) {
 	addr, err := net.ResolveUDPAddr("udp", string(m.Peers))
 	if err != nil {
-		return nil, errorx.Decorate(err, "address of %s", to)
+		return nil, errorx.Decorate(err, "address of %s", m.Daemon)
 	}
 	// The connection outlives the request that opened it, and QUIC ends a
 	// connection together with the context that it was dialed with.
-	return d.transport.Dial(context.WithoutCancel(ctx), addr, d.Certs.Client(to), &quic.Config{
-		MaxIdleTimeout:       lossTimeout,
+	return d.transport.Dial(context.WithoutCancel(ctx), addr, d.Certs.Client(m.Daemon), &quic.Config{
+		MaxIdleTimeout:       idleTimeout,
+		KeepAlivePeriod:      keepAlive,
 		HandshakeIdleTimeout: handshakeTimeout,
 	})
 }
+
+// sweep closes links that are not used, and forgets daemons that left.
+func (d *Dial) sweep(ctx context.Context) {
+	sub := d.Common.Clock.Every(sweepPeriod)
+	defer sub.Stop()
+	for {
+		select {
+		case now := <-sub.C:
+			d.closeIdle(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Dial) closeIdle(now units.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.peers {
+		select {
+		case p.lock <- struct{}{}:
+		default:
+			continue // a dial is in progress
+		}
+		if p.link != nil && p.link.idle(now) {
+			p.close()
+		}
+		if _, known := d.directory.Member(id); !known {
+			p.close()
+			delete(d.peers, id)
+		}
+		<-p.lock
+	}
+}
+
+func (p *peer) close() {
+	if p.link != nil {
+		p.link.retire()
+		p.link = nil
+	}
+}
--- /dev/null
+++ b/internal/dial/exchange.go
@@ -0,0 +1,71 @@
+package dial
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"github.com/quic-go/quic-go"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/timer"
+	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/internal/wire"
+)
+
+// exchange is one stream to another daemon: a message and its answer. It ends both
+// ways when its context does.
+type exchange struct {
+	*quic.Stream
+	link  *link
+	clock *timer.Timer
+	began units.Instant
+	stop  func() bool
+	once  sync.Once
+}
+
+// open begins an exchange with the daemon.
+func (d *Dial) open(ctx context.Context, to ids.Daemon) (*exchange, error) {
+	l, err := d.connect(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	x := &exchange{link: l, clock: d.Common.Clock, began: d.Common.Clock.Now()}
+	if x.Stream, err = l.conn.OpenStreamSync(ctx); err != nil {
+		l.end(x.clock.Now())
+		return nil, errorx.Decorate(err, "open stream to %s", to)
+	}
+	x.stop = context.AfterFunc(ctx, func() { abort(x.Stream) })
+	return x, nil
+}
+
+// abort ends both directions of a stream.
+func abort(s *quic.Stream) {
+	s.CancelRead(0)
+	s.CancelWrite(0)
+}
+
+// answer reads the other daemon's message. A daemon that stays silent until the
+// deadline loses its connection, so that the next exchange begins a new one.
+func (x *exchange) answer(ctx context.Context) (message.Message, error) {
+	m, err := wire.Read(x.Stream)
+	if err == nil {
+		x.link.answered(x.clock.Now())
+		return m, nil
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		x.link.silent(x.began)
+	}
+	return nil, err
+}
+
+// end gives the stream up.
+func (x *exchange) end() {
+	x.once.Do(func() {
+		x.stop()
+		abort(x.Stream)
+		x.link.end(x.clock.Now())
+	})
+}
--- a/internal/dial/send.go
+++ b/internal/dial/send.go
@@ -18,33 +18,30 @@
 )
 
 // Send hands a request to the gatekeeper on another daemon and returns its
-// answer. Errors carry a verdict.
+// answer. Errors carry a verdict. After an error the request's body may still be
+// read until the front end wakes its reader.
 func (d *Dial) Send(ctx context.Context, to ids.Daemon, head call.Head, body io.Reader) (*call.Answer, error) {
-	stream, err := d.open(ctx, to)
+	x, err := d.open(ctx, to)
 	if err != nil {
 		return nil, verdict.Wrap(verdict.Unrun, http.StatusServiceUnavailable, "the daemon of the backend server can't be reached", err)
 	}
-	stop := context.AfterFunc(ctx, func() { abort(stream) })
-	if err := wire.Write(stream, message.Request{Head: head}); err != nil {
-		stop()
-		abort(stream)
+	if err := wire.Write(x, message.Request{Head: head}); err != nil {
+		x.end()
 		return nil, lost(ctx, err)
 	}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		sendBody(stream, body)
+		sendBody(x.Stream, body)
 	}()
-	reply, err := wire.Read(stream)
+	reply, err := x.answer(ctx)
 	if err != nil {
-		stop()
-		abort(stream)
-		<-sent
+		x.end()
 		return nil, lost(ctx, err)
 	}
 	switch m := reply.(type) {
 	case message.Reply:
-		body := &answerBody{stream: stream, sent: sent, stop: stop}
+		body := &answerBody{exchange: x, sent: sent}
 		answer := answerOf(m, body)
 		if len(m.Trailer) > 0 {
 			answer.Trailer = map[string][]string{}
@@ -52,14 +49,10 @@
 		}
 		return answer, nil
 	case message.Refusal:
-		stop()
-		abort(stream)
-		<-sent
+		x.end()
 		return &call.Answer{Load: m.Load}, refusalOf(m)
 	default:
-		stop()
-		abort(stream)
-		<-sent
+		x.end()
 		return nil, verdict.New(verdict.Maybe, http.StatusBadGateway, "the daemon of the backend server sent no answer")
 	}
 }
@@ -94,22 +87,20 @@
 // answerBody reads an answer's body from the stream. A cut answer is an error,
 // because the gatekeeper resets the stream then.
 type answerBody struct {
-	stream *quic.Stream
-	sent   chan struct{}
-	stop   func() bool
-	closed atomic.Bool
+	exchange *exchange
+	sent     chan struct{}
+	closed   atomic.Bool
 }
 
 // Read implements io.Reader.
-func (b *answerBody) Read(p []byte) (int, error) { return b.stream.Read(p) }
+func (b *answerBody) Read(p []byte) (int, error) { return b.exchange.Read(p) }
 
 // Close ends the exchange and waits until the request's body is no longer read.
 func (b *answerBody) Close() error {
 	if b.closed.Swap(true) {
 		return nil
 	}
-	b.stop()
-	abort(b.stream)
+	b.exchange.end()
 	<-b.sent
 	return nil
 }
