Let subsets and sibling questions share daemons and connections

Cause: docs/CAPACITY.md had an entry daemon open 364 connections a second at the target size, 43.7 times the budget, because the subset of each service was drawn anew for it and so covered the whole fleet. Now the rendezvous weights are those of the daemons and do not depend on the service. go test ./internal/chooser -run SubsetsShare -v: an entry daemon that serves all 690 services speaks to 895 daemons instead of 1,938 of 2,000; a target is in 64 subsets on average of 200 entries, at most in 90 instead of 88. Routine questions to siblings go to the same daemons each time. With the 30 s of idle time, connections opened fall from 364 to under 1 a second and their memory from 184.7 to 82.7 MB (computed by balsamdocs from the slopes). Ruled out as cause: the idle time alone; at 1,938 peers 9 a second remained and the memory would not have changed.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -134,7 +134,7 @@
 
 // opened is the connections a second that a daemon opens or accepts, because the
 // last request between the two was longer ago than a connection lasts. Requests
-// go to all daemons alike.
+// go alike to all daemons of the subsets.
 func (c costs) opened() float64 {
-	return 2 * each * math.Exp(-each/daemons*idleTime.Seconds())
+	return 2 * each * math.Exp(-each/entryPeers*idleTime.Seconds())
 }
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -87,14 +87,13 @@
 	compares := 2 * learnAsked * targets / daemons / learnTime
 	entry := role{
 		name: "entry, connections", state: "connections to gatekeepers",
-		memory:    daemons * c.Memory.Link / megabyte,
+		memory:    entryPeers * c.Memory.Link / megabyte,
 		processor: c.opened() * c.Work.Resume / 2 / microsPerMilli,
-		mechanism: "subsets of targets for each entry daemon (not built)",
+		mechanism: "subsets of targets that lie on the same daemons",
 	}
 	gate := role{
 		name: "gatekeeper, siblings", state: "detectors",
-		processor: compares * c.Work.Resume / 2 / microsPerMilli,
-		mechanism: "fixed siblings asked over kept connections (not built)",
+		mechanism: "the same siblings each time, over kept connections",
 	}
 	return []role{
 		c.exchanged(role{name: "relay reader", state: "recent records", mechanism: "readers by the size of the data centre, a second hop (not built)"}, followers/pullTime, small),
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -50,7 +50,10 @@
 	guardSteps       = 4.0
 	// seatings is how often a holder finds an account's share after a roster.
 	seatings = 3.0
-	idleTime = 3 * time.Second
+	idleTime = 30 * time.Second
+	// entryPeers is the daemons that one entry daemon speaks to with subsets of
+	// all services: go test ./internal/chooser -run SubsetsShare -v.
+	entryPeers = 895.0
 	// burnCopies is the daemons that a report on burn asks.
 	burnCopies = daemons
 )
--- /dev/null
+++ b/internal/chooser/spread_test.go
@@ -0,0 +1,67 @@
+package chooser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/directory"
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/member"
+)
+
+// The users' target: 26,000 targets in 690 services on 2,000 daemons in 13 data
+// centres.
+const (
+	fleetDaemons  = 2000
+	fleetTargets  = 26000
+	fleetServices = 690
+	fleetCentres  = 13
+)
+
+// fleet spreads the targets of each service over random daemons.
+func fleet() map[ids.Service][]directory.Candidate {
+	rng := rand.New(rand.NewPCG(1, 1))
+	services := map[ids.Service][]directory.Candidate{}
+	for i := range fleetTargets {
+		d := rng.IntN(fleetDaemons)
+		id := ids.Service(fmt.Sprintf("team/s%d", i%fleetServices))
+		services[id] = append(services[id], directory.Candidate{
+			Daemon: ids.Daemon(fmt.Sprintf("vm%d", d)),
+			Centre: ids.Centre(fmt.Sprintf("c%d", d%fleetCentres)),
+			Target: member.Target{ID: ids.Target(fmt.Sprintf("t%d", i)), Slots: 3},
+		})
+	}
+	return services
+}
+
+// A daemon that lets requests in for every service speaks to a part of the fleet
+// only, and no target is in many more subsets than another.
+func TestSubsetsShareDaemons(t *testing.T) {
+	services := fleet()
+	const entries = 200
+	spoken := 0
+	chosen := map[ids.Target]int{}
+	for e := range entries {
+		c := Chooser{Self: ids.Daemon(fmt.Sprintf("vm%d", e)), Centre: ids.Centre(fmt.Sprintf("c%d", e%fleetCentres))}
+		peers := map[ids.Daemon]bool{}
+		for _, list := range services {
+			s := c.split(list)
+			for _, i := range append(append([]int(nil), s.near...), s.far...) {
+				peers[list[i].Daemon] = true
+				chosen[list[i].ID]++
+			}
+		}
+		spoken += len(peers)
+	}
+	most := 0
+	for _, n := range chosen {
+		most = max(most, n)
+	}
+	mean := float64(entries*fleetServices*subsetSize) / fleetTargets
+	t.Logf("a daemon speaks to %d of %d; a target is in %.0f subsets on average and in %d at most", spoken/entries, fleetDaemons, mean, most)
+	must.Less(t, fleetDaemons*2/3, spoken/entries)
+	must.Less(t, 2*mean, float64(most))
+}
--- a/internal/chooser/subset.go
+++ b/internal/chooser/subset.go
@@ -37,7 +37,7 @@
 	if c.subsets == nil {
 		c.subsets = map[ids.Service]*subset{}
 	}
-	s := c.split(id, list)
+	s := c.split(list)
 	s.used = now
 	c.subsets[id] = s
 	return s
@@ -49,23 +49,25 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// split orders the targets by rendezvous weight for this daemon and service.
-func (c *Chooser) split(id ids.Service, list []directory.Candidate) *subset {
+// split orders the targets by the rendezvous weights of their daemons for this one.
+// The weights do not depend on the service, so the subsets of many services lie on
+// the same daemons and share their connections.
+func (c *Chooser) split(list []directory.Candidate) *subset {
 	s := &subset{list: list}
-	index := make(map[ids.Daemon]int, len(list))
-	names := make([]ids.Daemon, 0, len(list))
+	at := make(map[ids.Daemon][]int, len(list))
+	daemons := make([]ids.Daemon, 0, len(list))
 	for i, t := range list {
-		name := ids.Daemon(string(t.Daemon) + "/" + string(t.ID))
-		index[name] = i
-		names = append(names, name)
+		if at[t.Daemon] == nil {
+			daemons = append(daemons, t.Daemon)
+		}
+		at[t.Daemon] = append(at[t.Daemon], i)
 	}
 	var near, far []int
-	for _, name := range rendezvous.Top(string(c.Self)+" "+string(id), names, len(names)) {
-		i := index[name]
-		if list[i].Centre == c.Centre {
-			near = append(near, i)
+	for _, d := range rendezvous.Top(string(c.Self), daemons, len(daemons)) {
+		if list[at[d][0]].Centre == c.Centre {
+			near = append(near, at[d]...)
 		} else {
-			far = append(far, i)
+			far = append(far, at[d]...)
 		}
 	}
 	nears := min(len(near), max(nearSize, subsetSize-len(far)))
--- a/internal/ejector/rounds.go
+++ b/internal/ejector/rounds.go
@@ -12,6 +12,7 @@
 	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/probation"
 	"balsamwharf.example/balsamwharf/internal/recent"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
 	"balsamwharf.example/balsamwharf/internal/sibling"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
@@ -123,7 +124,7 @@
 
 // learn asks a few siblings how they usually fare.
 func (e *Ejector) learn(ctx context.Context, p *patient) {
-	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Window: recent.Span})
+	answers := e.ask(ctx, p.target, e.usualSiblings(p.target), message.Compare{Service: p.target.Service, Window: recent.Span})
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -135,7 +136,7 @@
 
 // judge puts a suspicion to the siblings and ejects the target when it fails.
 func (e *Ejector) judge(ctx context.Context, p *patient, q detector.Question) {
-	answers := e.ask(ctx, p.target, message.Compare{Service: p.target.Service, Route: q.Route, Window: q.Window})
+	answers := e.ask(ctx, p.target, e.randomSiblings(p.target), message.Compare{Service: p.target.Service, Route: q.Route, Window: q.Window})
 	e.mu.Lock()
 	finding := p.detector.Judge(e.Common.Clock.Now(), q, answers)
 	e.mu.Unlock()
@@ -146,12 +147,11 @@
 	}
 }
 
-// ask compares with a few random siblings.
-func (e *Ejector) ask(ctx context.Context, t Target, m message.Compare) []sibling.Summary {
+// ask compares with the targets of this VM and of other daemons.
+func (e *Ejector) ask(ctx context.Context, t Target, daemons []ids.Daemon, m message.Compare) []sibling.Summary {
 	answers := e.summaries(m, t.ID)
 	ctx, cancel := e.Common.Clock.Within(ctx, compareTimeout)
 	defer cancel()
-	daemons := e.siblings(t)
 	replies := make(chan []sibling.Summary, len(daemons))
 	for _, d := range daemons {
 		go func() { replies <- e.askOne(ctx, d, m) }()
@@ -173,7 +173,20 @@
 	return nil
 }
 
-// siblings picks a few random other daemons with targets of the service in use.
+// randomSiblings picks daemons for a suspicion, each time others.
+func (e *Ejector) randomSiblings(t Target) []ids.Daemon {
+	all := e.siblings(t)
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(maxAsked, len(all))]
+}
+
+// usualSiblings picks the same daemons each time, and those to which this one lets
+// requests through most, so that the routine needs no connections of its own.
+func (e *Ejector) usualSiblings(t Target) []ids.Daemon {
+	return rendezvous.Top(string(e.Common.Settings.Identity.Daemon), e.siblings(t), maxAsked)
+}
+
+// siblings returns the other daemons with targets of the service in use.
 func (e *Ejector) siblings(t Target) []ids.Daemon {
 	self := e.Common.Settings.Identity.Daemon
 	var all []ids.Daemon
@@ -184,8 +197,7 @@
 			all = append(all, c.Daemon)
 		}
 	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(maxAsked, len(all))]
+	return all
 }
 
 // Compare answers a sibling with the outcomes of this VM's targets in use.
