--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -49,7 +49,7 @@
 	fmt.Fprintf(w, "worst-served client account within its rate\t%s, %.2f%% answered\t\n", worst, 100*success)
 	refused, total := d.wrongful()
 	fmt.Fprintf(w, "requests refused although within rate\t%d of %d (%.3f%%)\t\n", refused, total, 100*float64(refused)/float64(max(total, 1)))
-	within := d.ledger.Where(withinRate)
+	within := d.ledger.Where(func(l ledger.Line) bool { return withinRate(l) && !d.surgingThen(l) })
 	fmt.Fprintf(w, "time of requests within rate, p50 and p99\t%s, %s\t\n",
 		ledger.Quantile(within, 0.5).Round(time.Millisecond), ledger.Quantile(within, 0.99).Round(time.Millisecond))
 }
