--- a/internal/ejector/patient.go
+++ b/internal/ejector/patient.go
@@ -45,6 +45,8 @@
 	denied units.Instant
 	// lapsed is set when a permit ran out and the fleet has not been told.
 	lapsed bool
+	// relapsed is set when a trial failed and operators have not been told.
+	relapsed bool
 }
 
 // stage returns where the target stands. Without a permit it is in service.
@@ -88,22 +90,28 @@
 	switch x := x.(type) {
 	case sample.Good:
 		if p.slow(x.Took) {
-			p.probation.Bad(now)
+			p.fail(now)
 			return
 		}
 		if p.probation.Good(now) {
 			p.detector.Reset()
 		}
 	case sample.Errored, sample.Cut, sample.Hung, sample.Unreached:
-		p.probation.Bad(now)
+		p.fail(now)
 	case sample.Late:
 		if p.slow(x.Waited) {
-			p.probation.Bad(now)
+			p.fail(now)
 		}
 	case sample.Cancelled:
 	}
 }
 
+// fail ends a trial; the target is out again for longer.
+func (p *patient) fail(now units.Instant) {
+	p.relapsed = p.relapsed || p.probation.Stage() == probation.Trial
+	p.probation.Bad(now)
+}
+
 // slow reports whether an answer on trial took as long as those that led to the
 // ejection.
 func (p *patient) slow(took time.Duration) bool {
--- /dev/null
+++ b/internal/ejector/patient_test.go
@@ -0,0 +1,37 @@
+package ejector
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/probation"
+	"balsamwharf.example/balsamwharf/internal/sample"
+)
+
+// A bad answer on trial puts the target out again, which operators are told once.
+func TestTrial(t *testing.T) {
+	cases := []struct {
+		name     string
+		outcomes []sample.Sample
+		stage    probation.Stage
+		relapsed bool
+	}{
+		{"bad at once", []sample.Sample{sample.Errored{}}, probation.Out, true},
+		{"good, then cut", []sample.Sample{sample.Good{}, sample.Cut{}}, probation.Out, true},
+		{"cancelled says nothing", []sample.Sample{sample.Cancelled{}}, probation.Trial, false},
+		{"five good", []sample.Sample{sample.Good{}, sample.Good{}, sample.Good{}, sample.Good{}, sample.Good{}}, probation.In, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := &patient{}
+			p.probation.Eject(0)
+			p.probation.Try(1)
+			for _, x := range c.outcomes {
+				p.trial(2, x)
+			}
+			must.EqOp(t, c.stage, p.probation.Stage())
+			must.EqOp(t, c.relapsed, p.relapsed)
+		})
+	}
+}
--- a/internal/ejector/rounds.go
+++ b/internal/ejector/rounds.go
@@ -5,7 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"balsamwharf.example/balsamwharf/internal/detector"
+	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
@@ -54,6 +57,7 @@
 	statistic := 0.0
 	for _, p := range e.targets {
 		p.noteHangs(now)
+		e.tellRelapse(p)
 		statistic = max(statistic, p.detector.Statistic())
 		if step := e.due(ctx, now, p); step != nil {
 			due = append(due, step)
@@ -66,6 +70,15 @@
 	}
 }
 
+// tellRelapse logs a trial that failed. The lock is held.
+func (e *Ejector) tellRelapse(p *patient) {
+	if !p.relapsed {
+		return
+	}
+	p.relapsed = false
+	e.Common.Info(event.TrialFailed, append(about(p.target), zap.Duration("out", p.probation.Wait()))...)
+}
+
 // due returns the next step for a target, or nil. The step clears busy.
 func (e *Ejector) due(ctx context.Context, now units.Instant, p *patient) func() {
 	stage := p.stage(now)
