--- a/internal/purse/purse.go
+++ b/internal/batches/batches.go
@@ -1,10 +1,10 @@
-// Package purse is a borrower's stock of tokens of one client account.
+// Package batches is a borrower's stock of tokens of one client account.
 //
 // # Usage
 //
-//	p.Add(purse.Batch{Holder: "vm3", Number: 4, Left: 5 * units.Token, Ends: asked.Add(lifetime)})
+//	p.Add(batches.Batch{Holder: "vm3", Number: 4, Left: 5 * units.Token, Ends: asked.Add(lifetime)})
 //	ends, ok := p.Spend(now, units.Token)
-package purse
+package batches
 
 import (
 	"math"
@@ -13,8 +13,8 @@
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
-// Purse holds batches in the order in which they were borrowed.
-type Purse struct{ batches []Batch }
+// Batches holds batches in the order in which they were borrowed.
+type Batches struct{ batches []Batch }
 
 // Batch is a grant of one holder.
 type Batch struct {
@@ -27,11 +27,11 @@
 }
 
 // Add puts a batch in.
-func (p *Purse) Add(b Batch) { p.batches = append(p.batches, b) }
+func (p *Batches) Add(b Batch) { p.batches = append(p.batches, b) }
 
 // Spend takes n tokens out of batches that have not ended. It returns the
 // earliest end among the batches that it used.
-func (p *Purse) Spend(now units.Instant, n units.Tokens) (units.Instant, bool) {
+func (p *Batches) Spend(now units.Instant, n units.Tokens) (units.Instant, bool) {
 	if p.Balance(now) < n {
 		return 0, false
 	}
@@ -50,7 +50,7 @@
 }
 
 // Balance returns the tokens that can be spent.
-func (p *Purse) Balance(now units.Instant) units.Tokens {
+func (p *Batches) Balance(now units.Instant) units.Tokens {
 	var sum units.Tokens
 	for _, b := range p.batches {
 		if now.Before(b.Ends) {
@@ -62,7 +62,7 @@
 
 // Settle removes the batches of a holder that are used up or end before an
 // instant, and returns them; what is left in them goes back to the holder.
-func (p *Purse) Settle(holder ids.Daemon, before units.Instant) []Batch {
+func (p *Batches) Settle(holder ids.Daemon, before units.Instant) []Batch {
 	var settled, rest []Batch
 	for _, b := range p.batches {
 		if b.Holder == holder && (b.Left == 0 || b.Ends.Before(before)) {
@@ -76,7 +76,7 @@
 }
 
 // Expire forgets batches that have ended.
-func (p *Purse) Expire(now units.Instant) {
+func (p *Batches) Expire(now units.Instant) {
 	var rest []Batch
 	for _, b := range p.batches {
 		if now.Before(b.Ends) {
@@ -87,7 +87,7 @@
 }
 
 // Holders returns the daemons that the batches come from.
-func (p *Purse) Holders() []ids.Daemon {
+func (p *Batches) Holders() []ids.Daemon {
 	var all []ids.Daemon
 	seen := map[ids.Daemon]bool{}
 	for _, b := range p.batches {
--- a/internal/purse/purse_test.go
+++ b/internal/batches/batches_test.go
@@ -1,11 +1,11 @@
-package purse_test
+package batches_test
 
 import (
 	"testing"
 
 	"github.com/shoenig/test/must"
 
-	"balsamwharf.example/balsamwharf/internal/purse"
+	"balsamwharf.example/balsamwharf/internal/batches"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
@@ -25,9 +25,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var p purse.Purse
-			p.Add(purse.Batch{Holder: "a", Left: 3, Ends: 10})
-			p.Add(purse.Batch{Holder: "b", Left: 2, Ends: 20})
+			var p batches.Batches
+			p.Add(batches.Batch{Holder: "a", Left: 3, Ends: 10})
+			p.Add(batches.Batch{Holder: "b", Left: 2, Ends: 20})
 			ends, ok := p.Spend(c.at, c.n)
 			must.EqOp(t, c.ok, ok)
 			must.EqOp(t, c.ends, ends)
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -7,9 +7,9 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"balsamwharf.example/balsamwharf/internal/batches"
 	"balsamwharf.example/balsamwharf/internal/holding"
 	"balsamwharf.example/balsamwharf/internal/ids"
-	"balsamwharf.example/balsamwharf/internal/purse"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
@@ -50,7 +50,7 @@
 	holding   *holding.Holding
 	meter     meter
 	number    uint64
-	purses    map[ids.Daemon]*purse.Purse
+	borrowed  map[ids.Daemon]*batches.Batches
 	questions []flight
 	answers   []flight
 	gave      map[uint64]bool
@@ -77,7 +77,7 @@
 		Need:  units.Tokens(rapid.IntRange(0, 20).Draw(t, "need")) * units.Token,
 		Extra: units.Tokens(rapid.IntRange(0, 9).Draw(t, "extra")) * units.Token,
 	}
-	for _, b := range m.purses[who].Settle("h", m.now.Add(lifetime/2)) {
+	for _, b := range m.borrowed[who].Settle("h", m.now.Add(lifetime/2)) {
 		q.Settled = append(q.Settled, holding.Settled{Number: b.Number, Unused: b.Left})
 	}
 	m.questions = append(m.questions, flight{question: q, asked: m.now})
@@ -127,14 +127,14 @@
 		return
 	}
 	m.gave[f.question.Number] = true
-	b := purse.Batch{Holder: "h", Number: f.question.Number, Left: f.amount, Ends: f.asked.Add(lifetime)}
-	m.purses[f.question.Borrower.Daemon].Add(b)
+	b := batches.Batch{Holder: "h", Number: f.question.Number, Left: f.amount, Ends: f.asked.Add(lifetime)}
+	m.borrowed[f.question.Borrower.Daemon].Add(b)
 }
 
 func (m *machine) Spend(t *rapid.T) {
 	who := ids.Daemon(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"))
 	for range rapid.IntRange(1, 20).Draw(t, "n") {
-		if _, ok := m.purses[who].Spend(m.now, units.Token); ok && !m.meter.spend(m.now, units.Token) {
+		if _, ok := m.borrowed[who].Spend(m.now, units.Token); ok && !m.meter.spend(m.now, units.Token) {
 			t.Fatalf("more was spent than rate x time + burst")
 		}
 	}
@@ -147,10 +147,10 @@
 func TestSpentStaysWithinRateAndBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{
-			rate:   units.Rate(rapid.IntRange(1, 100).Draw(t, "rate")),
-			burst:  units.Tokens(rapid.IntRange(1, 20).Draw(t, "burst")) * units.Token,
-			purses: map[ids.Daemon]*purse.Purse{"a": {}, "b": {}},
-			gave:   map[uint64]bool{},
+			rate:     units.Rate(rapid.IntRange(1, 100).Draw(t, "rate")),
+			burst:    units.Tokens(rapid.IntRange(1, 20).Draw(t, "burst")) * units.Token,
+			borrowed: map[ids.Daemon]*batches.Batches{"a": {}, "b": {}},
+			gave:     map[uint64]bool{},
 		}
 		m.meter = meter{rate: m.rate, burst: m.burst}
 		m.begin(0)
--- a/internal/lender/handover.go
+++ b/internal/lender/handover.go
@@ -12,7 +12,7 @@
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/internal/succession"
-	"balsamwharf.example/balsamwharf/internal/trust"
+	"balsamwharf.example/balsamwharf/internal/transfer"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
@@ -24,7 +24,7 @@
 )
 
 // bundle is the notes for each run of a daemon.
-type bundle map[roster.Run][]trust.Note
+type bundle map[roster.Run][]transfer.Note
 
 // release lets go of the shares that a new roster gives to others or splits
 // otherwise.
@@ -40,31 +40,31 @@
 			continue
 		}
 		if n, ok := l.letGo(now, id); ok {
-			l.trust.Put(now, n)
+			l.transfer.Put(now, n)
 		}
 	}
 }
 
 // releaseEntrusted lets go of an ended run's share once a roster names another.
 func (l *Lender) releaseEntrusted(now units.Instant, id ids.Account, s *slot) {
-	f := l.fate(trust.Note{Account: id, Giver: s.giver, Version: s.version, Split: s.split})
+	f := l.fate(transfer.Note{Account: id, Giver: s.giver, Version: s.version, Split: s.split})
 	if _, ok := f.(succession.Stays); ok {
 		return
 	}
 	if n, ok := l.letGo(now, id); ok {
-		l.trust.Put(now, n)
+		l.transfer.Put(now, n)
 	}
 }
 
 // letGo ends a share and returns its balance; it is false when the share has not
 // begun.
-func (l *Lender) letGo(now units.Instant, id ids.Account) (trust.Note, bool) {
+func (l *Lender) letGo(now units.Instant, id ids.Account) (transfer.Note, bool) {
 	s := l.slots[id]
 	l.drop(id)
 	if now.Before(s.starts) {
-		return trust.Note{}, false
+		return transfer.Note{}, false
 	}
-	n := trust.Note{Account: id, Giver: l.self(), Version: l.read, Split: s.split}
+	n := transfer.Note{Account: id, Giver: l.self(), Version: l.read, Split: s.split}
 	if s.entrusted {
 		n.Giver, n.Version, n.Final = s.giver, s.version, true
 	}
@@ -82,7 +82,7 @@
 	now := l.Common.Clock.Now()
 	for _, n := range m.Notes {
 		if !l.lent[n.Name()] {
-			l.trust.Put(now, n)
+			l.transfer.Put(now, n)
 		}
 	}
 	l.route(now, m.Notes)
@@ -91,16 +91,16 @@
 
 // route hands the notes on whose successor is another daemon, and uses those of a
 // share that has begun empty.
-func (l *Lender) route(now units.Instant, notes []trust.Note) {
+func (l *Lender) route(now units.Instant, notes []transfer.Note) {
 	out := bundle{}
 	for _, n := range notes {
 		switch f := l.fate(n).(type) {
 		case succession.Stays:
 		case succession.Lost:
-			l.trust.Take(now, n.Name())
+			l.transfer.Take(now, n.Name())
 		case succession.Passed:
 			if f.To != l.self() {
-				if n, ok := l.trust.Take(now, n.Name()); ok {
+				if n, ok := l.transfer.Take(now, n.Name()); ok {
 					out[f.To] = append(out[f.To], n)
 				}
 			} else if s, ok := l.slots[n.Account]; ok && now.Before(s.starts) {
@@ -114,7 +114,7 @@
 	}
 }
 
-func (l *Lender) fate(n trust.Note) succession.Fate {
+func (l *Lender) fate(n transfer.Note) succession.Fate {
 	limits, e, ok := l.limits(n.Account)
 	if !ok || e.Split < n.Split {
 		// The settings have not been read so far yet.
@@ -127,8 +127,8 @@
 }
 
 // inherit returns the balance that the earlier holder of a share let go, once.
-func (l *Lender) inherit(now units.Instant, id ids.Account, split ids.Offset, count int) (trust.Note, bool) {
-	for _, n := range l.trust.Of(id) {
+func (l *Lender) inherit(now units.Instant, id ids.Account, split ids.Offset, count int) (transfer.Note, bool) {
+	for _, n := range l.transfer.Of(id) {
 		if n.Split != split {
 			continue
 		}
@@ -136,29 +136,29 @@
 		if !ok || f.To != l.self() {
 			continue
 		}
-		n, _ = l.trust.Take(now, n.Name())
+		n, _ = l.transfer.Take(now, n.Name())
 		if l.taken[id] == f.At {
 			continue
 		}
 		l.taken[id] = f.At
 		return n, true
 	}
-	return trust.Note{}, false
+	return transfer.Note{}, false
 }
 
 // final takes the note of an account's holder whose run has ended, if the rosters
 // still name it.
-func (l *Lender) final(now units.Instant, id ids.Account, split ids.Offset) (trust.Note, bool) {
-	for _, n := range l.trust.Of(id) {
+func (l *Lender) final(now units.Instant, id ids.Account, split ids.Offset) (transfer.Note, bool) {
+	for _, n := range l.transfer.Of(id) {
 		if !n.Final || n.Split != split {
 			continue
 		}
 		if _, ok := l.fate(n).(succession.Stays); ok {
 			l.lent[n.Name()] = true
-			return l.trust.Take(now, n.Name())
+			return l.transfer.Take(now, n.Name())
 		}
 	}
-	return trust.Note{}, false
+	return transfer.Note{}, false
 }
 
 // prune forgets what was taken over under rosters that are not kept any more: no
@@ -190,8 +190,8 @@
 			}
 		}
 	}
-	for _, n := range l.trust.All(now) {
-		if n, ok := l.trust.Take(now, n.Name()); ok {
+	for _, n := range l.transfer.All(now) {
+		if n, ok := l.transfer.Take(now, n.Name()); ok {
 			out.add(l, n)
 		}
 	}
@@ -215,7 +215,7 @@
 }
 
 // add puts a note to the daemon that keeps it when this one is gone.
-func (b bundle) add(l *Lender, n trust.Note) {
+func (b bundle) add(l *Lender, n transfer.Note) {
 	limits, _, ok := l.limits(n.Account)
 	if !ok {
 		return
@@ -237,7 +237,7 @@
 }
 
 // send hands notes to one daemon. What does not arrive is lost.
-func (l *Lender) send(ctx context.Context, to roster.Run, notes []trust.Note) {
+func (l *Lender) send(ctx context.Context, to roster.Run, notes []transfer.Note) {
 	for len(notes) > 0 {
 		n := min(len(notes), notesPerMessage)
 		callCtx, cancel := l.Common.Clock.Within(ctx, handoverTimeout)
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -28,7 +28,7 @@
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/standing"
 	"balsamwharf.example/balsamwharf/internal/tenure"
-	"balsamwharf.example/balsamwharf/internal/trust"
+	"balsamwharf.example/balsamwharf/internal/transfer"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
@@ -58,8 +58,8 @@
 	// cachedSpreads holds the holders of the accounts in use under each of the
 	// remembered rosters.
 	cachedSpreads = 16384
-	trustedNotes  = 16384
-	trustTime     = 2 * time.Minute
+	transferNotes = 16384
+	transferTime  = 2 * time.Minute
 )
 
 // Viewer shows the shared settings; package tail implements it.
@@ -84,18 +84,18 @@
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 
-	mu      sync.Mutex
-	stopped bool
-	tenure  tenure.Tenure
-	forced  forced
-	slots   map[ids.Account]*slot
-	shares  lru.Cache[shareKey, seat]
-	spreads lru.Cache[spreadKey, []ids.Daemon]
-	trust   trust.Trust
+	mu       sync.Mutex
+	stopped  bool
+	tenure   tenure.Tenure
+	forced   forced
+	slots    map[ids.Account]*slot
+	shares   lru.Cache[shareKey, seat]
+	spreads  lru.Cache[spreadKey, []ids.Daemon]
+	transfer transfer.Transfer
 	// taken holds the roster under which each account's balance was taken over.
 	taken map[ids.Account]ids.Offset
 	// lent names the notes of ended runs that this daemon has lent of.
-	lent map[trust.Name]bool
+	lent map[transfer.Name]bool
 	// read is the newest roster read.
 	read ids.Offset
 	// dropped is the settings' offset when a share was last dropped before it was
@@ -130,9 +130,9 @@
 	l.slots = map[ids.Account]*slot{}
 	l.shares = lru.Cache[shareKey, seat]{Limit: cachedShares}
 	l.spreads = lru.Cache[spreadKey, []ids.Daemon]{Limit: cachedSpreads}
-	l.trust = trust.Trust{Limit: trustedNotes, Keep: trustTime}
+	l.transfer = transfer.Transfer{Limit: transferNotes, Keep: transferTime}
 	l.taken = map[ids.Account]ids.Offset{}
-	l.lent = map[trust.Name]bool{}
+	l.lent = map[transfer.Name]bool{}
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.tasks.Go(l.run)
 	return nil
@@ -195,7 +195,7 @@
 		for _, one := range all {
 			l.release(now, one)
 		}
-		l.route(now, l.trust.All(now))
+		l.route(now, l.transfer.All(now))
 		l.prune()
 	case tenure.Broken:
 		l.shares.Clear()
--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"balsamwharf.example/balsamwharf/internal/batches"
 	"balsamwharf.example/balsamwharf/internal/ids"
-	"balsamwharf.example/balsamwharf/internal/purse"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
@@ -17,11 +17,11 @@
 
 // account is one client account with recent requests at this daemon.
 type account struct {
-	id     ids.Account
-	limits settings.Account
-	purse  purse.Purse
-	queue  []*waiter
-	demand demand
+	id       ids.Account
+	limits   settings.Account
+	borrowed batches.Batches
+	queue    []*waiter
+	demand   demand
 	// busy is set while a task borrows or returns tokens.
 	busy bool
 	used units.Instant
--- a/internal/limit/borrow.go
+++ b/internal/limit/borrow.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
+	"balsamwharf.example/balsamwharf/internal/batches"
 	"balsamwharf.example/balsamwharf/internal/holding"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
-	"balsamwharf.example/balsamwharf/internal/purse"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/share"
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -69,7 +69,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Common.Clock.Now()
-	balance := acc.purse.Balance(now)
+	balance := acc.borrowed.Balance(now)
 	need = max(0, units.Tokens(len(acc.queue))*units.Token-balance)
 	extra = max(0, acc.demand.ahead()-balance)
 	if need == 0 && balance >= acc.demand.ahead()/2 {
@@ -174,7 +174,7 @@
 		acc.avoid[holder] = l.Common.Clock.Now().Add(avoidTime)
 	}
 	if lent.Amount > 0 {
-		acc.purse.Add(purse.Batch{Holder: holder, Number: q.Number, Left: lent.Amount, Ends: asked.Add(lender.Lifetime)})
+		acc.borrowed.Add(batches.Batch{Holder: holder, Number: q.Number, Left: lent.Amount, Ends: asked.Add(lender.Lifetime)})
 	}
 	return lent
 }
@@ -198,7 +198,7 @@
 		Borrower: holding.Borrower{Daemon: self, Incarnation: incarnation},
 		Number:   l.number.Add(1),
 	}
-	for _, b := range acc.purse.Settle(holder, now.Add(lender.Lifetime/2)) {
+	for _, b := range acc.borrowed.Settle(holder, now.Add(lender.Lifetime/2)) {
 		q.Settled = append(q.Settled, holding.Settled{Number: b.Number, Unused: b.Left})
 	}
 	for _, n := range acc.abandoned[holder] {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -150,7 +150,7 @@
 
 // spend takes one token from the account's batches.
 func (l *Limit) spend(now units.Instant, acc *account) bool {
-	ends, ok := acc.purse.Spend(now, units.Token)
+	ends, ok := acc.borrowed.Spend(now, units.Token)
 	if !ok {
 		return false
 	}
@@ -161,7 +161,7 @@
 
 // prefetch borrows ahead of demand when the batches run low.
 func (l *Limit) prefetch(now units.Instant, acc *account) {
-	if acc.purse.Balance(now) < acc.demand.ahead()/2 {
+	if acc.borrowed.Balance(now) < acc.demand.ahead()/2 {
 		l.borrow(acc)
 	}
 }
--- a/internal/limit/sweep.go
+++ b/internal/limit/sweep.go
@@ -23,11 +23,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, acc := range l.accounts {
-		acc.purse.Expire(now)
+		acc.borrowed.Expire(now)
 		if acc.busy || len(acc.queue) > 0 {
 			continue
 		}
-		if acc.purse.Balance(now) == 0 {
+		if acc.borrowed.Balance(now) == 0 {
 			if now.Sub(acc.used) > forget {
 				delete(l.accounts, id)
 			}
@@ -43,7 +43,7 @@
 // giveBack returns the tokens of an account that went quiet.
 func (l *Limit) giveBack(acc *account) {
 	l.mu.Lock()
-	holders := acc.purse.Holders()
+	holders := acc.borrowed.Holders()
 	l.mu.Unlock()
 	for _, h := range holders {
 		l.ask(acc, h, 0, 0)
--- a/internal/message/handover.go
+++ b/internal/message/handover.go
@@ -2,14 +2,14 @@
 
 import (
 	"balsamwharf.example/balsamwharf/internal/roster"
-	"balsamwharf.example/balsamwharf/internal/trust"
+	"balsamwharf.example/balsamwharf/internal/transfer"
 )
 
 // Handover gives balances that the sender has let go to the receiver.
 type Handover struct {
 	// To is the run that the balances are for; another run ignores them.
 	To    roster.Run
-	Notes []trust.Note
+	Notes []transfer.Note
 }
 
 // HandedOver answers a Handover.
--- a/internal/trust/trust.go
+++ b/internal/transfer/transfer.go
@@ -1,12 +1,12 @@
-// Package trust keeps balances that holders handed over, until a roster names who
+// Package transfer keeps balances that holders handed over, until a roster names who
 // takes them.
 //
 // # Usage
 //
-//	t := trust.Trust{Limit: 4096, Keep: 2 * time.Minute}
+//	t := transfer.Transfer{Limit: 4096, Keep: 2 * time.Minute}
 //	t.Put(now, note)
 //	note, ok := t.Take(now, note.Name())
-package trust
+package transfer
 
 import (
 	"time"
@@ -16,8 +16,8 @@
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
-// Trust is a bounded set of notes.
-type Trust struct {
+// Transfer is a bounded set of notes.
+type Transfer struct {
 	Limit int
 	// Keep is how long a note is kept.
 	Keep  time.Duration
@@ -59,7 +59,7 @@
 
 // Put keeps a note; a repeated one takes the place of the first. It is false when
 // there is no room, and the tokens are lost.
-func (t *Trust) Put(now units.Instant, n Note) bool {
+func (t *Transfer) Put(now units.Instant, n Note) bool {
 	if n.Balance < 0 || n.Out < 0 || n.Age < 0 {
 		return false
 	}
@@ -76,7 +76,7 @@
 }
 
 // Take removes a note and returns it with its age as of now.
-func (t *Trust) Take(now units.Instant, name Name) (Note, bool) {
+func (t *Transfer) Take(now units.Instant, name Name) (Note, bool) {
 	list := t.notes[name.Account]
 	for i, k := range list {
 		if k.note.Giver != name.Giver {
@@ -89,7 +89,7 @@
 	return Note{}, false
 }
 
-func (t *Trust) remove(id ids.Account, i int) {
+func (t *Transfer) remove(id ids.Account, i int) {
 	list := t.notes[id]
 	t.notes[id] = append(list[:i:i], list[i+1:]...)
 	if len(t.notes[id]) == 0 {
@@ -99,7 +99,7 @@
 }
 
 // Of returns the notes of an account.
-func (t *Trust) Of(id ids.Account) []Note {
+func (t *Transfer) Of(id ids.Account) []Note {
 	var list []Note
 	for _, k := range t.notes[id] {
 		list = append(list, k.note)
@@ -108,7 +108,7 @@
 }
 
 // All forgets the notes that are too old and returns the others.
-func (t *Trust) All(now units.Instant) []Note {
+func (t *Transfer) All(now units.Instant) []Note {
 	var list []Note
 	for id := range t.notes {
 		for i := len(t.notes[id]) - 1; i >= 0; i-- {
