--- /dev/null
+++ b/internal/transfer/transfer_test.go
@@ -0,0 +1,57 @@
+package transfer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/transfer"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+func note(giver ids.Daemon, balance units.Tokens) transfer.Note {
+	return transfer.Note{Account: "a/school", Giver: roster.Run{Daemon: giver, Incarnation: 1}, Balance: balance, Age: time.Second}
+}
+
+func at(d time.Duration) units.Instant { return units.Instant(d) }
+
+// A note is taken once, with the age that it has then; a repeated message adds
+// nothing.
+func TestTakenOnce(t *testing.T) {
+	tr := transfer.Transfer{Limit: 2, Keep: time.Minute}
+	must.True(t, tr.Put(at(0), note("vm1", 5)))
+	must.True(t, tr.Put(at(0), note("vm1", 5)))
+	must.Len(t, 1, tr.Of("a/school"))
+	got, ok := tr.Take(at(2*time.Second), note("vm1", 0).Name())
+	must.True(t, ok)
+	must.EqOp(t, 5, got.Balance)
+	must.EqOp(t, 3*time.Second, got.Age)
+	_, ok = tr.Take(at(2*time.Second), got.Name())
+	must.False(t, ok)
+}
+
+func TestBounds(t *testing.T) {
+	cases := []struct {
+		name string
+		put  transfer.Note
+		ok   bool
+	}{
+		{"room for one", note("vm1", 5), true},
+		{"a balance below zero", note("vm1", -1), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tr := transfer.Transfer{Limit: 1, Keep: time.Minute}
+			must.EqOp(t, c.ok, tr.Put(at(0), c.put))
+		})
+	}
+	tr := transfer.Transfer{Limit: 1, Keep: time.Minute}
+	must.True(t, tr.Put(at(0), note("vm1", 5)))
+	must.False(t, tr.Put(at(0), note("vm2", 5)))
+	must.Len(t, 1, tr.All(at(time.Minute)))
+	must.SliceEmpty(t, tr.All(at(time.Minute+1)))
+	must.True(t, tr.Put(at(2*time.Minute), note("vm2", 5)))
+}
