--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,7 @@
 		{name: "a GET that ran was refused as unrun after its retry", seed: 1, span: 12 * time.Minute},
 		{name: "never failed", seed: 2, span: 12 * time.Minute},
 		{name: "the fake network kept the slot of a lost answer", seed: 3, span: 12 * time.Minute},
+		{name: "a paused announcement was sent after a drain", seed: 11, span: 28 * time.Minute},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
