Find a key's pairs under the rosters of its window by their differences

Cause: for each new idempotency key the guard looked through every remembered roster, and at the target size its window of 10 minutes holds about 99 of them while it remembered 64, so that some keys would have been refused for nothing.

--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -100,7 +100,7 @@
 		c.exchanged(role{name: "witness", state: "none", mechanism: "two askers in a data centre; batches of changes"}, centres*askersPerCentre*rounds, small),
 		c.exchanged(role{name: "asker", state: "none", mechanism: "the same"}, witnesses*rounds+perCentre/askersPerCentre*records()*settleTime, small),
 		{name: "holder", state: "shares", processor: held * perHeld, memory: held * c.Memory.Held / megabyte, mechanism: "rendezvous hashing, places kept for each roster"},
-		{name: "guard", state: "notes", memory: min(guardNotes, 2*notes*guardWindow) * c.Memory.Note / megabyte, mechanism: "rendezvous hashing over all daemons"},
+		{name: "guard", state: "notes", processor: 2 * notes * keyMillis, memory: min(guardNotes, 2*notes*guardWindow) * c.Memory.Note / megabyte, mechanism: "rendezvous hashing; only rosters that touch a pair are looked through"},
 		c.exchanged(role{name: "steward of permits", state: "permits out", mechanism: "traffic only while a target is out"}, services*oneOut/daemons, small),
 		c.exchanged(gate, compares, small),
 		entry,
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -39,7 +39,7 @@
 	askersPerCentre  = 2.0
 	witnesses        = 7.0
 	holders          = 2.0
-	rostersKept      = 64.0 // by the guard, for the time of a key's window
+	rostersKept      = 128.0 // by the guard, for the time of a key's window
 	guardWindow      = 600.0
 	guardNotes       = 50000.0
 	pullTime         = 0.6
@@ -52,8 +52,10 @@
 	seatings = 3.0
 	idleTime = 30 * time.Second
 	// entryPeers is the daemons that one entry daemon speaks to with subsets of
-	// all services: go test ./internal/chooser -run SubsetsShare -v.
+	// all services.
 	entryPeers = 895.0
+	// keyMillis is the time in which a guard finds the pairs of a new key.
+	keyMillis = 0.12
 	// burnCopies is the daemons that a report on burn asks.
 	burnCopies = daemons
 )
--- a/internal/guard/answer.go
+++ b/internal/guard/answer.go
@@ -24,7 +24,7 @@
 	g.floor = max(g.floor, m.Version)
 	_, incarnation := g.standing.Self()
 	note, found := g.book.Find(now, m.Key)
-	rest, reaches := g.uncovered(now, m.Key)
+	rest, reaches := g.uncovered(now, m.Key, g.pairs(m.Key))
 	complete := !found && reaches && len(rest) == 0 && g.sees(m.Version)
 	return message.GuardLooked{Incarnation: incarnation, Found: found, Note: note, Complete: complete}
 }
@@ -55,9 +55,9 @@
 // stays reports whether the rosters that were read, but are not in force, leave
 // the key to the same pair.
 func stays(key mark.Key, r roster.Roster) bool {
-	current := entries(key, r)
+	current := entries(r, pair(key, r))
 	for _, one := range r.Next {
-		if !slices.Equal(current, entries(key, one)) {
+		if !slices.Equal(current, entries(one, pair(key, one))) {
 			return false
 		}
 	}
--- a/internal/guard/bench_test.go
+++ b/internal/guard/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lineage"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/standing"
@@ -44,15 +45,16 @@
 			for i, r := range list {
 				g.tenure.Observe(units.Instant(i+1), r)
 			}
+			g.lineage = lineage.New(g.tenure.All())
 			newest := list[len(list)-1]
 			now := units.Instant(Window) + 1
 			n := 0
 			for b.Loop() {
 				n++
 				key := mark.Key{Account: "andrade/school", Key: fmt.Sprint(n)}
-				pair(key, newest)
-				g.uncovered(now, key)
-				g.steady(now, key, newest)
+				p := g.pairs(key)
+				g.uncovered(now, key, p)
+				g.steady(now, key, newest, p)
 			}
 		})
 	}
--- a/internal/guard/decide.go
+++ b/internal/guard/decide.go
@@ -27,8 +27,9 @@
 	fresh := mark.Note{Digest: m.Digest, Attempt: m.Attempt, Version: r.Version, Number: g.made}
 	outcome := g.book.Begin(now, m.Key, fresh)
 	g.Common.Invariant.Check(g.book.Whole(), "one note for each idempotency key")
-	ask, reaches := g.uncovered(now, m.Key)
-	steady := g.steady(now, m.Key, r)
+	p := g.pairs(m.Key)
+	ask, reaches := g.uncovered(now, m.Key, p)
+	steady := g.steady(now, m.Key, r, p)
 	g.mu.Unlock()
 	if _, ok := outcome.(mark.Fresh); !ok {
 		return outcome
@@ -36,15 +37,15 @@
 	if !steady {
 		return g.refuse(m, "the guard of the idempotency key has just changed")
 	}
-	return g.settle(ctx, m, r, fresh, ask, reaches)
+	return g.settle(ctx, m, r, fresh, ask, reaches, p)
 }
 
 // settle asks the daemons that guarded the key before and makes the copy. The
 // attempt is noted already, so that a repeat meanwhile does not run.
-func (g *Guard) settle(ctx context.Context, m message.GuardBegin, r roster.Roster, fresh mark.Note, ask []roster.Roster, reaches bool) mark.Outcome {
-	to := pair(m.Key, r)
+func (g *Guard) settle(ctx context.Context, m message.GuardBegin, r roster.Roster, fresh mark.Note, ask []roster.Roster, reaches bool, p pairs) mark.Outcome {
+	to := p.of(m.Key, r)
 	if !reaches || len(ask) > 0 {
-		note, found, known := g.look(ctx, m.Key, r, to, ask, reaches)
+		note, found, known := g.look(ctx, m.Key, r, to, ask, reaches, p)
 		if found {
 			return g.adopt(m, note)
 		}
@@ -98,18 +99,18 @@
 
 // steady reports whether the key has had this pair for so long that no daemon can
 // have missed the rosters that gave it to the pair.
-func (g *Guard) steady(now units.Instant, key mark.Key, r roster.Roster) bool {
-	current := entries(key, r)
+func (g *Guard) steady(now units.Instant, key mark.Key, r roster.Roster, p pairs) bool {
+	current := entries(r, p.of(key, r))
 	since, ok := g.tenure.Since(func(other roster.Roster) bool {
-		return slices.Equal(current, entries(key, other))
+		return slices.Equal(current, entries(other, p.of(key, other)))
 	})
 	return ok && now.Sub(since) >= steadyTime
 }
 
-// entries returns the runs of the daemons of a key's pair.
-func entries(key mark.Key, r roster.Roster) []roster.Entry {
+// entries returns the runs of the daemons of a pair.
+func entries(r roster.Roster, to []ids.Daemon) []roster.Entry {
 	var list []roster.Entry
-	for _, d := range pair(key, r) {
+	for _, d := range to {
 		e, _ := r.Find(d)
 		e.Witness = false
 		list = append(list, e)
@@ -120,12 +121,12 @@
 // uncovered returns the rosters of the window under which this run of the daemon
 // was not one of the key's pair. It is false when this daemon does not know all
 // rosters of the window.
-func (g *Guard) uncovered(now units.Instant, key mark.Key) ([]roster.Roster, bool) {
+func (g *Guard) uncovered(now units.Instant, key mark.Key, p pairs) ([]roster.Roster, bool) {
 	all, reaches := g.history(now)
 	self, incarnation := g.standing.Self()
 	var rest []roster.Roster
 	for _, r := range all {
-		if !covers(key, r, self, incarnation) {
+		if !covers(r, p.of(key, r), self, incarnation) {
 			rest = append(rest, r)
 		}
 	}
@@ -133,9 +134,9 @@
 }
 
 // covers reports whether a run of a daemon had every note of the key under a roster.
-func covers(key mark.Key, r roster.Roster, d ids.Daemon, incarnation ids.Incarnation) bool {
-	for _, p := range pair(key, r) {
-		if e, ok := r.Find(p); ok && p == d && e.Incarnation == incarnation {
+func covers(r roster.Roster, to []ids.Daemon, d ids.Daemon, incarnation ids.Incarnation) bool {
+	for _, one := range to {
+		if e, ok := r.Find(one); ok && one == d && e.Incarnation == incarnation {
 			return true
 		}
 	}
@@ -151,8 +152,8 @@
 
 // look asks the daemons that may have a note. It returns the note, and whether it
 // is certain that there is none.
-func (g *Guard) look(ctx context.Context, key mark.Key, r roster.Roster, to []ids.Daemon, ask []roster.Roster, reaches bool) (mark.Note, bool, bool) {
-	replies := g.lookAll(ctx, message.GuardLook{Key: key, Version: r.Version}, g.former(key, to, ask))
+func (g *Guard) look(ctx context.Context, key mark.Key, r roster.Roster, to []ids.Daemon, ask []roster.Roster, reaches bool, p pairs) (mark.Note, bool, bool) {
+	replies := g.lookAll(ctx, message.GuardLook{Key: key, Version: r.Version}, g.former(key, to, ask, p))
 	complete := false
 	for _, l := range replies {
 		if l.ok && l.reply.Found {
@@ -160,15 +161,15 @@
 		}
 		complete = complete || (l.ok && l.reply.Complete)
 	}
-	return mark.Note{}, false, complete || (reaches && coveredBy(key, ask, replies))
+	return mark.Note{}, false, complete || (reaches && coveredBy(key, ask, replies, p))
 }
 
 // coveredBy reports whether one of each roster's pair has answered.
-func coveredBy(key mark.Key, ask []roster.Roster, replies []looked) bool {
+func coveredBy(key mark.Key, ask []roster.Roster, replies []looked, p pairs) bool {
 	for _, r := range ask {
 		ok := false
 		for _, l := range replies {
-			ok = ok || (l.ok && covers(key, r, l.from, l.reply.Incarnation))
+			ok = ok || (l.ok && covers(r, p.of(key, r), l.from, l.reply.Incarnation))
 		}
 		if !ok {
 			return false
@@ -178,7 +179,7 @@
 }
 
 // former lists the other daemons of the key's pairs.
-func (g *Guard) former(key mark.Key, to []ids.Daemon, ask []roster.Roster) []ids.Daemon {
+func (g *Guard) former(key mark.Key, to []ids.Daemon, ask []roster.Roster, p pairs) []ids.Daemon {
 	self, _ := g.standing.Self()
 	seen := map[ids.Daemon]bool{self: true}
 	var list []ids.Daemon
@@ -192,7 +193,7 @@
 	}
 	add(to)
 	for _, r := range ask {
-		add(pair(key, r))
+		add(p.of(key, r))
 	}
 	return list
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,6 +21,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/evidence"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lineage"
 	"balsamwharf.example/balsamwharf/internal/mark"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/peer"
@@ -45,7 +46,7 @@
 	observeGap = 500 * time.Millisecond
 	// rememberedRosters bounds the memory of rosters; with more of them within the
 	// window, keys whose guard changed are refused.
-	rememberedRosters = 64
+	rememberedRosters = 128
 	callTimeout       = time.Second
 	// steadyTime is how long a key's pair waits after it changed. A daemon that is
 	// confirmed sees every roster that lasts as long.
@@ -72,8 +73,10 @@
 	mu     sync.Mutex
 	book   mark.Book
 	tenure tenure.Tenure
-	floor  ids.Offset
-	made   uint64
+	// lineage finds the pairs of a key under the rosters of tenure.
+	lineage lineage.Lineage
+	floor   ids.Offset
+	made    uint64
 }
 
 // Name implements service.Service.
@@ -132,7 +135,9 @@
 	if len(r.Entries) == 0 {
 		return r, false
 	}
-	g.tenure.Observe(now, r)
+	if g.tenure.Observe(now, r) != tenure.Same {
+		g.lineage = lineage.New(g.tenure.All())
+	}
 	g.floor = max(g.floor, r.Version)
 	self, incarnation := g.standing.Self()
 	e, ok := r.Find(self)
@@ -155,9 +160,38 @@
 	return all, false
 }
 
+// pairSize is a guard and its copy.
+const pairSize = 2
+
+func thing(key mark.Key) string { return "guard/" + string(key.Account) + "/" + key.Key }
+
 // pair returns the guard and the copy of a key.
 func pair(key mark.Key, r roster.Roster) []ids.Daemon {
-	return share.Spread("guard/"+string(key.Account)+"/"+key.Key, r, 2)
+	return share.Spread(thing(key), r, pairSize)
+}
+
+// pairs holds a key's pairs under rosters with a version.
+type pairs map[ids.Offset][]ids.Daemon
+
+// pairs finds the pairs of a key under all rosters that are remembered. The lock is
+// held.
+func (g *Guard) pairs(key mark.Key) pairs {
+	p := pairs{}
+	found := g.lineage.Spread(thing(key), pairSize)
+	for i, r := range g.tenure.All() {
+		if r.Version != 0 && i < len(found) {
+			p[r.Version] = found[i]
+		}
+	}
+	return p
+}
+
+// of returns the pair of the key under a roster.
+func (p pairs) of(key mark.Key, r roster.Roster) []ids.Daemon {
+	if to, ok := p[r.Version]; ok {
+		return to
+	}
+	return pair(key, r)
 }
 
 // Begin asks the key's guard whether this attempt may run.
--- /dev/null
+++ b/internal/lineage/lineage.go
@@ -0,0 +1,108 @@
+// Package lineage finds the holders of many things under many rosters that differ
+// little from each other.
+//
+// # Usage
+//
+//	l := lineage.New(rosters) // once for each new roster
+//	holders := l.Spread("guard/a/key", 2)
+//
+// The result is that of share.Spread for each roster. A roster that changes neither
+// a holder nor a daemon that could outweigh one is not looked through.
+package lineage
+
+import (
+	"cmp"
+	"slices"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+	"balsamwharf.example/balsamwharf/internal/roster"
+	"balsamwharf.example/balsamwharf/internal/share"
+)
+
+// Lineage is a list of rosters with the differences between neighbours. The zero
+// value has none.
+type Lineage struct {
+	rosters []roster.Roster
+	// changed[i] names the daemons that are in only one of the rosters i and i+1, or
+	// in other data centres.
+	changed [][]ids.Daemon
+}
+
+// New compares each roster with the next one.
+func New(rosters []roster.Roster) Lineage {
+	l := Lineage{rosters: rosters}
+	for i := 1; i < len(rosters); i++ {
+		l.changed = append(l.changed, differ(rosters[i-1].Entries, rosters[i].Entries))
+	}
+	return l
+}
+
+// differ walks through two lists that are in order of names.
+func differ(a, b []roster.Entry) []ids.Daemon {
+	var list []ids.Daemon
+	for len(a) > 0 && len(b) > 0 {
+		switch order := cmp.Compare(a[0].Daemon, b[0].Daemon); {
+		case order < 0:
+			list, a = append(list, a[0].Daemon), a[1:]
+		case order > 0:
+			list, b = append(list, b[0].Daemon), b[1:]
+		default:
+			if a[0].Centre != b[0].Centre {
+				list = append(list, a[0].Daemon)
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	for _, e := range append(slices.Clone(a), b...) {
+		list = append(list, e.Daemon)
+	}
+	return list
+}
+
+// Spread returns the n holders of a thing under each roster, in the order of the
+// rosters.
+func (l Lineage) Spread(thing string, n int) [][]ids.Daemon {
+	weights := rendezvous.ThingOf(thing)
+	all := make([][]ids.Daemon, 0, len(l.rosters))
+	for i, r := range l.rosters {
+		if i > 0 && l.same(weights, all[i-1], i-1, n) {
+			all = append(all, all[i-1])
+			continue
+		}
+		all = append(all, share.Spread(thing, r, n))
+	}
+	return all
+}
+
+// same reports whether the holders under a roster are those under the next one:
+// they lie in different data centres, and no daemon that changed is one of them or
+// outweighs the last.
+func (l Lineage) same(weights rendezvous.Thing, holders []ids.Daemon, i, n int) bool {
+	if len(l.changed[i]) == 0 {
+		return true
+	}
+	if len(holders) < n || !apart(l.rosters[i], holders) {
+		return false
+	}
+	least := weights.Weight(holders[n-1])
+	for _, d := range l.changed[i] {
+		if slices.Contains(holders, d) || weights.Weight(d) >= least {
+			return false
+		}
+	}
+	return true
+}
+
+// apart reports whether the daemons lie in different data centres.
+func apart(r roster.Roster, daemons []ids.Daemon) bool {
+	seen := map[ids.Centre]bool{}
+	for _, d := range daemons {
+		e, _ := r.Find(d)
+		if seen[e.Centre] {
+			return false
+		}
+		seen[e.Centre] = true
+	}
+	return true
+}
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -114,6 +114,15 @@
 	return since, found
 }
 
+// All returns the rosters that are remembered, oldest first.
+func (t *Tenure) All() []roster.Roster {
+	list := make([]roster.Roster, 0, len(t.seen))
+	for _, s := range t.seen {
+		list = append(list, s.roster)
+	}
+	return list
+}
+
 // Within returns the rosters that may have been acted on since an instant. It is
 // false when the observations do not reach back to it.
 func (t *Tenure) Within(from units.Instant) ([]roster.Roster, bool) {
