Read the options of commands in one place

Five commands parsed their options with the same lines, and two left it to the library to print. An argument that no command knows is an error in all now.

--- a/internal/balsamd/balsamd.go
+++ b/internal/balsamd/balsamd.go
@@ -7,19 +7,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"balsamwharf.example/balsamwharf/internal/app"
 	"balsamwharf.example/balsamwharf/internal/certs"
+	"balsamwharf.example/balsamwharf/internal/commandline"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
 	"balsamwharf.example/balsamwharf/internal/settings"
 )
@@ -40,14 +39,8 @@
 // Main runs the daemon and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		var flagErr *flags.Error
-		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, err)
-			return exitOK
-		}
-		fmt.Fprintln(stderr, err)
-		return exitSettings
+	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+		return int(code)
 	}
 	set, err := load(o.Config)
 	if err != nil {
--- a/internal/balsamstandin/balsamstandin.go
+++ b/internal/balsamstandin/balsamstandin.go
@@ -19,8 +19,7 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"balsamwharf.example/balsamwharf/internal/commandline"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/serving"
 	"balsamwharf.example/balsamwharf/internal/standin"
@@ -30,7 +29,6 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
-	exitUsage  = 2
 )
 
 // options is the command line.
@@ -46,14 +44,8 @@
 // Main serves until the process is told to stop and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
-		var flagErr *flags.Error
-		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, err)
-			return exitOK
-		}
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+		return int(code)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,8 +15,7 @@
 	"os"
 	"slices"
 
-	"github.com/jessevdk/go-flags"
-
+	"balsamwharf.example/balsamwharf/internal/commandline"
 	"balsamwharf.example/balsamwharf/internal/slopes"
 )
 
@@ -24,7 +23,6 @@
 const (
 	exitOK     = 0
 	exitFailed = 1
-	exitUsage  = 2
 )
 
 // fileMode is the mode of the written file.
@@ -55,8 +53,8 @@
 // Main runs the command and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		return exitUsage
+	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+		return int(code)
 	}
 	if err := run(context.Background(), o, stdout); err != nil {
 		fmt.Fprintln(stderr, err)
--- /dev/null
+++ b/internal/commandline/commandline.go
@@ -0,0 +1,46 @@
+// Package commandline reads the options of commands that have no subcommands.
+//
+// # Usage
+//
+//	var o options
+//	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+//		return int(code)
+//	}
+package commandline
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Code is the exit code of a command.
+type Code int
+
+// The exit codes.
+const (
+	OK     Code = 0
+	Failed Code = 1
+	Usage  Code = 2
+)
+
+// Parse fills the options. It reports true when the command is done: help was asked
+// for, or the command line is wrong; both are printed.
+func Parse(options any, args []string, stdout, stderr io.Writer) (Code, bool) {
+	rest, err := flags.NewParser(options, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	var problem *flags.Error
+	switch {
+	case errors.As(err, &problem) && problem.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, err)
+		return OK, true
+	case err != nil:
+		fmt.Fprintln(stderr, err)
+		return Usage, true
+	case len(rest) > 0:
+		fmt.Fprintf(stderr, "unexpected argument %q\n", rest[0])
+		return Usage, true
+	}
+	return OK, false
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,14 +10,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 
+	"balsamwharf.example/balsamwharf/internal/commandline"
 	"balsamwharf.example/balsamwharf/internal/fleet"
 	"balsamwharf.example/balsamwharf/internal/ledger"
 	"balsamwharf.example/balsamwharf/internal/standin"
@@ -28,7 +27,6 @@
 const (
 	exitOK     = 0
 	exitBroken = 1
-	exitUsage  = 2
 )
 
 // The course of the run, as shares of its length.
@@ -69,14 +67,8 @@
 // Main runs the demo and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o Options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).ParseArgs(args); err != nil {
-		var flagErr *flags.Error
-		if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
-			fmt.Fprintln(stdout, err)
-			return exitOK
-		}
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+		return int(code)
 	}
 	d := &Demo{options: o, out: stdout}
 	if err := d.run(); err != nil {
--- a/internal/docs/docs.go
+++ b/internal/docs/docs.go
@@ -11,10 +11,10 @@
 	"io"
 	"os"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/capacity"
+	"balsamwharf.example/balsamwharf/internal/commandline"
 	"balsamwharf.example/balsamwharf/internal/reference"
 	"balsamwharf.example/balsamwharf/internal/slopes"
 )
@@ -23,7 +23,6 @@
 const (
 	exitOK    = 0
 	exitStale = 1
-	exitUsage = 2
 )
 
 // fileMode is the mode of the written pages.
@@ -37,8 +36,8 @@
 // Main writes or checks the pages and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		return exitUsage
+	if code, done := commandline.Parse(&o, args, stdout, stderr); done {
+		return int(code)
 	}
 	worked, err := capacityPage()
 	if err != nil {
