--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -37,6 +37,8 @@
 			must.Len(t, 1, lines)
 			must.EqOp(t, c.alarm, lines[0].Alarm)
 			must.InDelta(t, c.rate, lines[0].Windows[0].Rate, 1e-9)
+			must.EqOp(t, "5m", lines[0].Windows[0].Span)
+			must.EqOp(t, "72h", lines[0].Windows[3].Span)
 			if c.bad > 0 {
 				must.EqOp(t, "a/school", lines[0].Accounts[0].Name)
 				must.InDelta(t, 1, lines[0].Targets[0].Share, 1e-9)
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -127,12 +128,20 @@
 	for i, c := range counts {
 		rate := rateOf(c, o)
 		rates = append(rates, rate)
-		line.Windows = append(line.Windows, WindowLine{Span: Windows[i].String(), Good: c.Good, Bad: c.Bad, Rate: rate})
+		line.Windows = append(line.Windows, WindowLine{Span: spanOf(Windows[i]), Good: c.Good, Bad: c.Bad, Rate: rate})
 	}
 	line.Alarm = alarm(rates)
 	return line
 }
 
+// spanOf writes a window as whole hours or minutes.
+func spanOf(d time.Duration) string {
+	if d%time.Hour == 0 {
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return fmt.Sprintf("%dm", d/time.Minute)
+}
+
 // rateOf returns how many times faster than allowed the budget is spent.
 func rateOf(c window.Count, o Objective) float64 {
 	budget := (100 - float64(o.Share)) / 100
