--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -103,6 +103,7 @@
 		{name: "guard", state: "notes", processor: 2 * notes * keyMillis, memory: min(guardNotes, 2*notes*guardWindow) * c.Memory.Note / megabyte, mechanism: "rendezvous hashing; only rosters that touch a pair are looked through"},
 		c.exchanged(role{name: "steward of permits", state: "permits out", mechanism: "traffic only while a target is out"}, services*oneOut/daemons, small),
 		c.exchanged(gate, compares, small),
+		c.exchanged(role{name: "operators' client", state: "none", mechanism: "a report a minute: one daemon asks all others, 32 at a time"}, burnCopies/reportTime, small),
 		entry,
 	}
 }
--- a/internal/capacity/target.go
+++ b/internal/capacity/target.go
@@ -58,6 +58,8 @@
 	keyMillis = 0.12
 	// burnCopies is the daemons that a report on burn asks.
 	burnCopies = daemons
+	// reportTime is the seconds between two reports on burn.
+	reportTime = 60.0
 )
 
 const (
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rcrowley/go-metrics"
 
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
 
@@ -17,11 +18,11 @@
 
 func newCounts(r metrics.Registry) counts {
 	return counts{
-		ran:     metrics.GetOrRegisterCounter("requests.ran", r),
-		maybe:   metrics.GetOrRegisterCounter("requests.maybe", r),
-		unrun:   metrics.GetOrRegisterCounter("requests.unrun", r),
-		retries: metrics.GetOrRegisterCounter("requests.retries", r),
-		hedges:  metrics.GetOrRegisterCounter("requests.hedges", r),
+		ran:     metric.RequestsRan.Counter(r),
+		maybe:   metric.RequestsMaybe.Counter(r),
+		unrun:   metric.RequestsUnrun.Counter(r),
+		retries: metric.Retries.Counter(r),
+		hedges:  metric.Hedges.Counter(r),
 	}
 }
 
--- a/internal/gatekeeper/announcement.go
+++ b/internal/gatekeeper/announcement.go
@@ -9,6 +9,7 @@
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
@@ -100,12 +101,27 @@
 			if g.sweep(now) {
 				g.publish()
 			}
+			g.measure()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// measure sets the gauges of work at the targets.
+func (g *Gatekeeper) measure() {
+	queued, flight := 0, 0
+	g.mu.Lock()
+	for _, t := range g.targets {
+		l := t.load()
+		queued += l.Queued
+		flight += l.InFlight
+	}
+	g.mu.Unlock()
+	metric.Queued.Gauge(g.Common.Metrics).Update(int64(queued))
+	metric.InFlight.Gauge(g.Common.Metrics).Update(int64(flight))
+}
+
 // sweep reports whether a target changed.
 func (g *Gatekeeper) sweep(now units.Instant) bool {
 	g.mu.Lock()
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gossip"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
@@ -92,6 +93,7 @@
 	ctx, cancel := g.Common.Clock.Within(ctx, head.Remaining)
 	if err := t.gate.enter(ctx, head); err != nil {
 		cancel()
+		metric.Sheds.Counter(g.Common.Metrics).Inc(1)
 		return &call.Answer{Load: t.load()}, err
 	}
 	began := g.Common.Clock.Now()
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -21,6 +21,7 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/lru"
+	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/peer"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/share"
@@ -93,8 +94,8 @@
 	}
 	l.accounts = map[ids.Account]*account{}
 	l.shares = lru.Cache[shareKey, share.Share]{Limit: cachedShares}
-	l.asked = metrics.GetOrRegisterCounter("limit.questions", l.Common.Metrics)
-	l.admitted = metrics.GetOrRegisterCounter("limit.admitted", l.Common.Metrics)
+	l.asked = metric.Questions.Counter(l.Common.Metrics)
+	l.admitted = metric.Admitted.Counter(l.Common.Metrics)
 	l.ctx, l.cancel = context.WithCancel(ctx)
 	l.tasks.Go(l.sweep)
 	return nil
