--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -51,7 +51,7 @@
 	permits   *permit.Permit
 
 	mu      sync.Mutex
-	targets map[ids.Target]*patient
+	targets map[ids.Target]*evidence
 }
 
 // Target is a backend server of this VM.
@@ -95,9 +95,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.targets == nil {
-		e.targets = map[ids.Target]*patient{}
+		e.targets = map[ids.Target]*evidence{}
 	}
-	e.targets[t.ID] = &patient{target: t, tracked: now, flight: map[*Watch]bool{}}
+	e.targets[t.ID] = &evidence{target: t, tracked: now, flight: map[*Watch]bool{}}
 }
 
 // Forget ends following a target that is gone. Its permit lapses.
--- a/internal/ejector/patient.go
+++ b/internal/ejector/evidence.go
@@ -24,8 +24,8 @@
 	coldSlower = 10.0
 )
 
-// patient is one target with its evidence. Ejector.mu guards it.
-type patient struct {
+// evidence is what is known of one target. Ejector.mu guards it.
+type evidence struct {
 	target    Target
 	tracked   units.Instant
 	detector  detector.Detector
@@ -50,7 +50,7 @@
 }
 
 // stage returns where the target stands. Without a permit it is in service.
-func (p *patient) stage(now units.Instant) probation.Stage {
+func (p *evidence) stage(now units.Instant) probation.Stage {
 	if p.probation.Stage() != probation.In && !now.Before(p.until) {
 		p.probation.Readmit(now)
 		p.detector.Reset()
@@ -60,10 +60,10 @@
 }
 
 // cold reports whether the target is still warming up.
-func (p *patient) cold(now units.Instant) bool { return now.Sub(p.tracked) < p.target.Cold }
+func (p *evidence) cold(now units.Instant) bool { return now.Sub(p.tracked) < p.target.Cold }
 
 // note takes in one outcome.
-func (p *patient) note(now units.Instant, route ids.Route, x sample.Sample) {
+func (p *evidence) note(now units.Instant, route ids.Route, x sample.Sample) {
 	if p.stage(now) != probation.In {
 		p.trial(now, x)
 		return
@@ -77,7 +77,7 @@
 
 // warm allows for a cold target: up to coldSlower times the siblings' usual
 // latency tells nothing.
-func (p *patient) warm(took time.Duration) time.Duration {
+func (p *evidence) warm(took time.Duration) time.Duration {
 	usual := p.detector.Usual()
 	if !usual.Timed || math.Log(took.Seconds()) < usual.Log+math.Log(coldSlower) {
 		return 0
@@ -86,7 +86,7 @@
 }
 
 // trial counts an outcome of a target on trial.
-func (p *patient) trial(now units.Instant, x sample.Sample) {
+func (p *evidence) trial(now units.Instant, x sample.Sample) {
 	switch x := x.(type) {
 	case sample.Good:
 		if p.slow(x.Took) {
@@ -107,14 +107,14 @@
 }
 
 // fail ends a trial; the target is out again for longer.
-func (p *patient) fail(now units.Instant) {
+func (p *evidence) fail(now units.Instant) {
 	p.relapsed = p.relapsed || p.probation.Stage() == probation.Trial
 	p.probation.Bad(now)
 }
 
 // slow reports whether an answer on trial took as long as those that led to the
 // ejection.
-func (p *patient) slow(took time.Duration) bool {
+func (p *evidence) slow(took time.Duration) bool {
 	f := p.finding
 	if f.Question.Reason != detector.Slow || took <= 0 {
 		return false
@@ -124,7 +124,7 @@
 
 // hang returns after which time a request is taken for hung, or false while the
 // siblings' latency is not known.
-func (p *patient) hang(now units.Instant) (time.Duration, bool) {
+func (p *evidence) hang(now units.Instant) (time.Duration, bool) {
 	u := p.detector.Usual()
 	if !u.Timed {
 		return 0, false
@@ -137,7 +137,7 @@
 }
 
 // noteHangs counts requests that have been in flight for too long.
-func (p *patient) noteHangs(now units.Instant) {
+func (p *evidence) noteHangs(now units.Instant) {
 	limit, ok := p.hang(now)
 	if !ok {
 		return
--- a/internal/ejector/patient_test.go
+++ b/internal/ejector/evidence_test.go
@@ -24,7 +24,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := &patient{}
+			p := &evidence{}
 			p.probation.Eject(0)
 			p.probation.Try(1)
 			for _, x := range c.outcomes {
--- a/internal/ejector/rounds.go
+++ b/internal/ejector/rounds.go
@@ -71,7 +71,7 @@
 }
 
 // tellRelapse logs a trial that failed. The lock is held.
-func (e *Ejector) tellRelapse(p *patient) {
+func (e *Ejector) tellRelapse(p *evidence) {
 	if !p.relapsed {
 		return
 	}
@@ -80,7 +80,7 @@
 }
 
 // due returns the next step for a target, or nil. The step clears busy.
-func (e *Ejector) due(ctx context.Context, now units.Instant, p *patient) func() {
+func (e *Ejector) due(ctx context.Context, now units.Instant, p *evidence) func() {
 	stage := p.stage(now)
 	if p.lapsed {
 		p.lapsed = false
@@ -103,7 +103,7 @@
 	}
 }
 
-func (e *Ejector) next(ctx context.Context, now units.Instant, p *patient, stage probation.Stage) func() {
+func (e *Ejector) next(ctx context.Context, now units.Instant, p *evidence, stage probation.Stage) func() {
 	switch stage {
 	case probation.In:
 		return e.nextIn(ctx, now, p)
@@ -118,7 +118,7 @@
 	return nil
 }
 
-func (e *Ejector) nextIn(ctx context.Context, now units.Instant, p *patient) func() {
+func (e *Ejector) nextIn(ctx context.Context, now units.Instant, p *evidence) func() {
 	if p.until != 0 {
 		return func() { e.readmitted(ctx, p) }
 	}
@@ -136,7 +136,7 @@
 }
 
 // learn asks a few siblings how they usually fare.
-func (e *Ejector) learn(ctx context.Context, p *patient) {
+func (e *Ejector) learn(ctx context.Context, p *evidence) {
 	answers := e.ask(ctx, p.target, e.usualSiblings(p.target), message.Compare{Service: p.target.Service, Window: recent.Span})
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
@@ -148,7 +148,7 @@
 }
 
 // judge puts a suspicion to the siblings and ejects the target when it fails.
-func (e *Ejector) judge(ctx context.Context, p *patient, q detector.Question) {
+func (e *Ejector) judge(ctx context.Context, p *evidence, q detector.Question) {
 	answers := e.ask(ctx, p.target, e.randomSiblings(p.target), message.Compare{Service: p.target.Service, Route: q.Route, Window: q.Window})
 	e.mu.Lock()
 	finding := p.detector.Judge(e.Common.Clock.Now(), q, answers)
--- a/internal/ejector/verdicts.go
+++ b/internal/ejector/verdicts.go
@@ -21,12 +21,12 @@
 // probeTimeout bounds one probe.
 const probeTimeout = time.Second
 
-func (p *patient) claim() permit.Claim {
+func (p *evidence) claim() permit.Claim {
 	return permit.Claim{Service: p.target.Service, Target: p.target.ID, Slots: p.target.Slots, Badness: p.finding.Badness()}
 }
 
 // eject takes a failing target out of use if the steward permits it.
-func (e *Ejector) eject(ctx context.Context, p *patient, f detector.Failing) {
+func (e *Ejector) eject(ctx context.Context, p *evidence, f detector.Failing) {
 	e.mu.Lock()
 	p.finding = f
 	claim := p.claim()
@@ -43,7 +43,7 @@
 	}
 }
 
-func (e *Ejector) out(p *patient, a permit.Held) {
+func (e *Ejector) out(p *evidence, a permit.Held) {
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	if !now.Before(a.Until) {
@@ -62,7 +62,7 @@
 	e.mark()
 }
 
-func (e *Ejector) deny(p *patient) {
+func (e *Ejector) deny(p *evidence) {
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -71,7 +71,7 @@
 
 // renew keeps the permit of a target that is out. A refusal readmits it at once;
 // silence lets the lease run out.
-func (e *Ejector) renew(ctx context.Context, p *patient) {
+func (e *Ejector) renew(ctx context.Context, p *evidence) {
 	e.mu.Lock()
 	p.renewed = e.Common.Clock.Now()
 	claim := p.claim()
@@ -92,8 +92,8 @@
 }
 
 // probe tries a target whose time out is over.
-func (e *Ejector) probe(ctx context.Context, p *patient) {
-	err := e.knock(ctx, p.target.Address)
+func (e *Ejector) probe(ctx context.Context, p *evidence) {
+	err := e.contact(ctx, p.target.Address)
 	now := e.Common.Clock.Now()
 	e.mu.Lock()
 	if err != nil {
@@ -107,9 +107,9 @@
 	e.mark()
 }
 
-// knock asks a target for any answer at all. Whether it serves well is for the
+// contact asks a target for any answer at all. Whether it serves well is for the
 // trial to find out.
-func (e *Ejector) knock(ctx context.Context, addr ids.Address) error {
+func (e *Ejector) contact(ctx context.Context, addr ids.Address) error {
 	ctx, cancel := e.Common.Clock.Within(ctx, probeTimeout)
 	defer cancel()
 	opened, err := e.dial(ctx, addr)
@@ -127,7 +127,7 @@
 }
 
 // readmitted ends the ejection of a target that passed its trial.
-func (e *Ejector) readmitted(ctx context.Context, p *patient) {
+func (e *Ejector) readmitted(ctx context.Context, p *evidence) {
 	e.mu.Lock()
 	claim := p.claim()
 	p.until = 0
@@ -139,7 +139,7 @@
 }
 
 // lapsed tells of a target that came back because its permit ran out.
-func (e *Ejector) lapsed(p *patient) {
+func (e *Ejector) lapsed(p *evidence) {
 	metric.Readmissions.Counter(e.Common.Metrics).Inc(1)
 	e.Common.Warn(event.TargetReadmitted, append(about(p.target), zap.String("why", "permit"))...)
 	e.mark()
--- a/internal/ejector/watch.go
+++ b/internal/ejector/watch.go
@@ -8,10 +8,10 @@
 
 // Watch follows one request from its hand-off to the target until it ends.
 type Watch struct {
-	ejector *Ejector
-	patient *patient
-	route   ids.Route
-	began   units.Instant
+	ejector  *Ejector
+	evidence *evidence
+	route    ids.Route
+	began    units.Instant
 	// sent is set once the target has the whole request, so that a slow caller is
 	// not the target's fault.
 	sent  bool
@@ -23,9 +23,9 @@
 func (e *Ejector) Begin(id ids.Target, route ids.Route) *Watch {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := &Watch{ejector: e, patient: e.targets[id], route: route}
-	if w.patient != nil {
-		w.patient.flight[w] = true
+	w := &Watch{ejector: e, evidence: e.targets[id], route: route}
+	if w.evidence != nil {
+		w.evidence.flight[w] = true
 	}
 	return w
 }
@@ -47,8 +47,8 @@
 	now := w.ejector.Common.Clock.Now()
 	w.ejector.mu.Lock()
 	defer w.ejector.mu.Unlock()
-	if w.patient != nil {
-		delete(w.patient.flight, w)
+	if w.evidence != nil {
+		delete(w.evidence.flight, w)
 	}
 	if !w.sent {
 		return sample.Good{}
@@ -62,13 +62,13 @@
 	now := w.ejector.Common.Clock.Now()
 	w.ejector.mu.Lock()
 	defer w.ejector.mu.Unlock()
-	if w.over || w.patient == nil {
+	if w.over || w.evidence == nil {
 		return
 	}
 	w.over = true
-	delete(w.patient.flight, w)
+	delete(w.evidence.flight, w)
 	if _, good := x.(sample.Good); w.hangs > 0 && !good {
 		return
 	}
-	w.patient.note(now, w.route, x)
+	w.evidence.note(now, w.route, x)
 }
