--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -74,6 +74,7 @@
 // quiet, so that shares fill and a fault finds something to double.
 func TestNeverMoreUnderFaults(t *testing.T) {
 	for seed := range uint64(10) {
+		t.Logf("seed %d", seed)
 		synctest.Test(t, func(t *testing.T) {
 			// A burst that takes long to fill shows shares that start full.
 			w := newWorld(t, 6, []settings.Account{{Rate: 20, Burst: 20}, {Rate: 2, Burst: 40}}[seed%2])
--- a/internal/limit/world_test.go
+++ b/internal/limit/world_test.go
@@ -326,7 +326,7 @@
 		}
 		level++
 		last = at
-		must.LessEq(w.t, float64(w.limits.Burst)+0.01, level, must.Sprint("admitted more than rate x time + burst"))
+		must.LessEq(w.t, float64(w.limits.Burst)+0.01, level, must.Sprint("admitted more than rate x time + burst", w.limits))
 	}
 }
 
