--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -25,16 +25,22 @@
 	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/entry"
 	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/force"
 	"balsamwharf.example/balsamwharf/internal/front"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/hop"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/limit"
 	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/internal/platformlog"
+	"balsamwharf.example/balsamwharf/internal/publish"
 	"balsamwharf.example/balsamwharf/internal/relay"
+	"balsamwharf.example/balsamwharf/internal/seating"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/snapshot"
 	"balsamwharf.example/balsamwharf/internal/tail"
 	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -78,12 +84,18 @@
 	a.kernel.Add(&directory.Directory{Clock: clock})
 	a.kernel.Add(&tail.Tail{Common: c, Log: a.Log})
 	a.kernel.Add(&relay.Relay{Common: c})
+	a.kernel.Add(&publish.Publish{Common: c, Log: a.Log})
+	a.kernel.Add(&snapshot.Snapshot{Common: c, Log: a.Log})
 	a.kernel.Add(&limit.Limit{Common: c})
 	a.kernel.Add(&dial.Dial{Common: c, Certs: a.Certs})
 	a.kernel.Add(&gossip.Gossip{Common: c})
+	a.kernel.Add(&force.Force{Common: c})
 	a.kernel.Add(&confirm.Confirm{Common: c})
 	a.kernel.Add(&permit.Permit{Common: c})
 	a.kernel.Add(&ejector.Ejector{Common: c})
+	a.kernel.Add(&seating.Seating{Common: c, Log: a.Log})
+	a.kernel.Add(&lender.Lender{Common: c})
+	a.kernel.Add(&guard.Guard{Common: c})
 	a.kernel.Add(&gatekeeper.Gatekeeper{Common: c})
 	a.kernel.Add(&hop.Hop{Common: c})
 	a.kernel.Add(&dispatch.Dispatch{Common: c})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,16 +9,20 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"github.com/joomcode/errorx"
 
 	"balsamwharf.example/balsamwharf/internal/call"
 	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/confirm"
 	"balsamwharf.example/balsamwharf/internal/ejector"
 	"balsamwharf.example/balsamwharf/internal/gatekeeper"
 	"balsamwharf.example/balsamwharf/internal/gossip"
+	"balsamwharf.example/balsamwharf/internal/guard"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/lender"
 	"balsamwharf.example/balsamwharf/internal/message"
 	"balsamwharf.example/balsamwharf/internal/permit"
 	"balsamwharf.example/balsamwharf/internal/relay"
@@ -32,9 +36,12 @@
 
 	gatekeeper *gatekeeper.Gatekeeper
 	gossip     *gossip.Gossip
+	lender     *lender.Lender
+	guard      *guard.Guard
+	relay      *relay.Relay
+	confirm    *confirm.Confirm
 	permit     *permit.Permit
 	ejector    *ejector.Ejector
-	relay      *relay.Relay
 }
 
 // Name implements service.Service.
@@ -42,26 +49,30 @@
 
 // Needs implements service.Service.
 func (d *Dispatch) Needs() []service.Name {
-	return []service.Name{"gatekeeper", "gossip", "relay", "permit", "ejector"}
+	return []service.Name{
+		"gatekeeper",
+		"gossip",
+		"relay",
+		"confirm",
+		"lender",
+		"guard",
+		"permit",
+		"ejector",
+	}
 }
 
 // Start implements service.Service.
 func (d *Dispatch) Start(_ context.Context, f service.Finder) error {
-	var err error
-	if d.gatekeeper, err = kernel.Find[*gatekeeper.Gatekeeper](f, "gatekeeper"); err != nil {
-		return err
-	}
-	if d.relay, err = kernel.Find[*relay.Relay](f, "relay"); err != nil {
-		return err
-	}
-	if d.permit, err = kernel.Find[*permit.Permit](f, "permit"); err != nil {
-		return err
-	}
-	if d.ejector, err = kernel.Find[*ejector.Ejector](f, "ejector"); err != nil {
-		return err
-	}
-	d.gossip, err = kernel.Find[*gossip.Gossip](f, "gossip")
-	return err
+	return errors.Join(
+		kernel.Bind(f, "gatekeeper", &d.gatekeeper),
+		kernel.Bind(f, "gossip", &d.gossip),
+		kernel.Bind(f, "relay", &d.relay),
+		kernel.Bind(f, "confirm", &d.confirm),
+		kernel.Bind(f, "lender", &d.lender),
+		kernel.Bind(f, "guard", &d.guard),
+		kernel.Bind(f, "permit", &d.permit),
+		kernel.Bind(f, "ejector", &d.ejector),
+	)
 }
 
 // Stop implements service.Service.
@@ -77,12 +88,24 @@
 	switch m := m.(type) {
 	case message.Announce:
 		return d.gossip.Hear(m), nil
+	case message.Borrow:
+		return d.lender.Lend(from, m), nil
+	case message.GuardBegin:
+		return d.guard.Began(ctx, m), nil
+	case message.GuardLook:
+		return d.guard.Look(m), nil
+	case message.GuardCopy:
+		return d.guard.Copy(m), nil
+	case message.GuardEnd:
+		return d.guard.End(ctx, m), nil
 	case message.Probe:
 		return d.gossip.Try(ctx, m), nil
 	case message.Pull:
 		return d.relay.Pull(ctx, m), nil
 	case message.Fetch:
 		return d.relay.Fetch(m)
+	case message.Question:
+		return d.confirm.Answer(), nil
 	case message.Permit, message.Release:
 		return d.permit.Hear(from, m), nil
 	case message.Compare:
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// A new steward grants nothing until what its predecessor granted has lapsed.
+func TestStewardChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 5)
+		steward, sick := w.steward()
+		w.traffic(warmup)
+		w.traffic(found, sick)
+		must.True(t, sick.ejector.Ejected(sick.target))
+		w.set(w.left, steward.id)
+		w.traffic(floor.Lease, sick)
+		must.False(t, sick.ejector.Ejected(sick.target))
+		w.traffic(found+floor.Margin, sick)
+		must.True(t, sick.ejector.Ejected(sick.target))
+	})
+}
+
 // Of fifteen slots six may be out: the third failing target stays.
 func TestFloor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -39,6 +39,11 @@
 	askTimeout = 500 * time.Millisecond
 	// watchPeriod is how often a daemon looks whether it is still confirmed.
 	watchPeriod = 250 * time.Millisecond
+	// maxGap is the longest time without an observation in which no other steward
+	// can have granted anything.
+	maxGap = time.Second
+	// maxRosters bounds the rosters that are remembered.
+	maxRosters = 64
 )
 
 // Permit speaks to stewards and is one itself.
@@ -103,6 +108,7 @@
 	if p.standing, err = kernel.Find[standing.Standing](f, "confirm"); err != nil {
 		return err
 	}
+	p.tenure = tenure.Tenure{Gap: maxGap, Limit: maxRosters}
 	go p.run(ctx)
 	return nil
 }
@@ -126,7 +132,7 @@
 
 // Ask claims a permit or renews it.
 func (p *Permit) Ask(ctx context.Context, c Claim) Answer {
-	to, ok := tenure.StewardOf(p.standing.Roster(), c.Service)
+	to, ok := Steward(p.standing.Roster(), c.Service)
 	if !ok {
 		return Silent{}
 	}
@@ -170,7 +176,7 @@
 
 // Release gives a permit back. When the message is lost the lease lapses instead.
 func (p *Permit) Release(ctx context.Context, c Claim) {
-	to, ok := tenure.StewardOf(p.standing.Roster(), c.Service)
+	to, ok := Steward(p.standing.Roster(), c.Service)
 	if !ok {
 		return
 	}
--- a/internal/permit/steward.go
+++ b/internal/permit/steward.go
@@ -7,7 +7,9 @@
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/member"
 	"balsamwharf.example/balsamwharf/internal/message"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
 	"balsamwharf.example/balsamwharf/internal/replay"
+	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
@@ -32,11 +34,38 @@
 	}
 }
 
+// Steward returns the steward of a service by the roster.
+func Steward(r roster.Roster, id ids.Service) (ids.Daemon, bool) {
+	top := rendezvous.Top("steward "+string(id), r.Daemons(), 1)
+	if len(top) == 0 {
+		return "", false
+	}
+	return top[0], true
+}
+
 // observe notes the roster in force while this daemon is confirmed.
 func (p *Permit) observe() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tenure.Note(p.Common.Clock.Now(), p.standing.Confirmed(), p.standing.Roster())
+	if p.standing.Confirmed() {
+		p.tenure.Observe(p.Common.Clock.Now(), p.standing.Roster())
+	}
+}
+
+// settled reports whether this daemon has been the steward of the service for so
+// long that nothing a predecessor granted is still in use.
+func (p *Permit) settled(now units.Instant, id ids.Service) bool {
+	if !p.standing.Confirmed() {
+		return false
+	}
+	p.tenure.Observe(now, p.standing.Roster())
+	self, incarnation := p.standing.Self()
+	since, ok := p.tenure.Since(func(r roster.Roster) bool {
+		steward, ok := Steward(r, id)
+		entry, _ := r.Find(self)
+		return ok && steward == self && entry.Incarnation == incarnation
+	})
+	return ok && now.Sub(since) >= stewardWait
 }
 
 // book finds the permits of a service.
@@ -57,12 +86,10 @@
 	if !ok {
 		return message.Permitted{Reason: string(notSteward)}
 	}
-	self, _ := p.standing.Self()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Common.Clock.Now()
-	p.tenure.Note(now, p.standing.Confirmed(), p.standing.Roster())
-	if !p.tenure.Settled(now, self, m.Service, stewardWait) {
+	if !p.settled(now, m.Service) {
 		return message.Permitted{Reason: string(notSteward)}
 	}
 	return p.decide(now, p.book(m.Service), from, m, capacity)
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/roster"
 )
 
 // PartSections is how many sections one part of a snapshot holds at most.
@@ -27,6 +28,12 @@
 	// Recent lists the edits applied lately, oldest first, so that a repeat is
 	// still known. The first part holds all of them.
 	Recent []Remembered
+	// Rosters are the newest rosters, oldest first, and none is missing from
+	// Since on. The first part holds them.
+	Rosters []roster.Roster
+	Since   ids.Offset
+	// Settled is an offset that its maker knew to be in force.
+	Settled ids.Offset
 }
 
 // Section is one section within a Snapshot.
--- a/internal/replay/loader.go
+++ b/internal/replay/loader.go
@@ -76,6 +76,9 @@
 	for _, r := range part.Recent {
 		g.state.memory.keep(r)
 	}
+	if part.Part == 0 {
+		g.state.rosters.load(part)
+	}
 	g.seen[part.Part] = true
 	return nil
 }
--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -1,98 +1,98 @@
-// Package tenure says whether a daemon has been the only steward for long enough.
+// Package tenure remembers since when this daemon has had a seat under the
+// rosters that it saw.
 //
 // # Usage
 //
-//	var t tenure.Tenure
-//	t.Note(now, standing.Confirmed(), standing.Roster())
-//	if t.Settled(now, self, "andrade/payments", floor.Lease+floor.Margin) { ... }
-//
-// The steward of a service is the first daemon by rendezvous over the roster in
-// force. A new steward can't know what its predecessor granted, so it grants
-// nothing until all of that has lapsed: it must have been the steward by every
-// roster of that time. A gap in the observations, for example because the process
-// was paused, starts the wait again, since another may have been steward meanwhile.
+//	changed := t.Observe(now, roster) // only while confirmed
+//	since, ok := t.Since(func(r roster.Roster) bool { return holds(r) })
 package tenure
 
 import (
 	"slices"
 	"time"
 
-	"balsamwharf.example/balsamwharf/internal/ids"
-	"balsamwharf.example/balsamwharf/internal/rendezvous"
 	"balsamwharf.example/balsamwharf/internal/roster"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
 
+// Change says what an observation brought.
+type Change string
+
+// The changes.
 const (
-	// maxGap is the longest time between two observations. It must be shorter than
-	// the time for which a roster is in force.
-	maxGap = time.Second
-	// memory is how long rosters are remembered.
-	memory = 10 * time.Second
+	// Same means that the roster is the one observed before.
+	Same Change = "same"
+	// Next means that it is another roster.
+	Next Change = "next"
+	// Broken means that it is another roster after a time without observations,
+	// in which others may have been in force. What came before is forgotten.
+	Broken Change = "broken"
 )
 
-// Tenure remembers the rosters of the last seconds. The zero value has seen none.
+// Tenure is a list of rosters with the instants of their first observation.
 type Tenure struct {
-	confirmed bool
-	since     units.Instant
-	last      units.Instant
-	seen      []term
+	// Gap is the longest time without observation in which no other roster can
+	// have given anything out.
+	Gap time.Duration
+	// Limit is how many rosters are remembered.
+	Limit int
+
+	seen []sighting
+	last units.Instant
 }
 
-// term is a roster with the time until which it was seen in force.
-type term struct {
+type sighting struct {
 	roster roster.Roster
-	last   units.Instant
+	at     units.Instant
 }
 
-// StewardOf returns the steward of a service by the roster.
-func StewardOf(r roster.Roster, id ids.Service) (ids.Daemon, bool) {
-	top := rendezvous.Top("steward "+string(id), r.Daemons(), 1)
-	if len(top) == 0 {
-		return "", false
+// Observe takes down the roster in force. It must be called only while the
+// daemon is confirmed.
+func (t *Tenure) Observe(now units.Instant, r roster.Roster) Change {
+	defer func() { t.last = now }()
+	if len(t.seen) > 0 && equal(t.seen[len(t.seen)-1].roster, r) {
+		return Same
 	}
-	return top[0], true
-}
-
-// Note observes whether the daemon is confirmed, and the roster in force.
-func (t *Tenure) Note(now units.Instant, confirmed bool, r roster.Roster) {
-	if confirmed && (!t.confirmed || now.Sub(t.last) > maxGap) {
-		t.since = now
+	change := Next
+	if len(t.seen) > 0 && now.Sub(t.last) > t.Gap {
 		t.seen = nil
+		change = Broken
 	}
-	t.confirmed = confirmed
-	t.last = now
-	if confirmed {
-		t.remember(now, r)
+	t.seen = append(t.seen, sighting{roster: r, at: now})
+	if len(t.seen) > t.Limit {
+		t.seen = slices.Clone(t.seen[len(t.seen)-t.Limit:])
 	}
+	return change
 }
 
-func (t *Tenure) remember(now units.Instant, r roster.Roster) {
-	t.seen = slices.DeleteFunc(t.seen, func(s term) bool { return now.Sub(s.last) > memory })
-	if n := len(t.seen); n > 0 && same(t.seen[n-1].roster, r) {
-		t.seen[n-1].last = now
-		return
+// equal compares versions, and the entries of rosters without a version.
+func equal(a, b roster.Roster) bool {
+	if a.Version != b.Version {
+		return false
 	}
-	t.seen = append(t.seen, term{roster: r, last: now})
+	return a.Version != 0 || slices.Equal(a.Entries, b.Entries)
 }
 
-func same(a, b roster.Roster) bool {
-	return a.Version == b.Version && slices.Equal(a.Entries, b.Entries)
+// Since returns from when on the condition has held for every roster observed,
+// up to the newest; it is false when the newest does not meet it.
+func (t *Tenure) Since(holds func(roster.Roster) bool) (units.Instant, bool) {
+	var since units.Instant
+	found := false
+	for i := len(t.seen) - 1; i >= 0 && holds(t.seen[i].roster); i-- {
+		since, found = t.seen[i].at, true
+	}
+	return since, found
 }
 
-// Settled reports whether the daemon has been the steward of the service for the
-// wait, which must be shorter than ten seconds.
-func (t *Tenure) Settled(now units.Instant, self ids.Daemon, id ids.Service, wait time.Duration) bool {
-	if !t.confirmed || now.Sub(t.last) > maxGap || now.Sub(t.since) < wait {
-		return false
-	}
-	for _, s := range t.seen {
-		if now.Sub(s.last) > wait+maxGap {
-			continue
-		}
-		if steward, ok := StewardOf(s.roster, id); !ok || steward != self {
-			return false
+// Within returns the rosters that were the newest at some time since an instant.
+// It is false when the observations do not reach back to it.
+func (t *Tenure) Within(from units.Instant) ([]roster.Roster, bool) {
+	var list []roster.Roster
+	for i := len(t.seen) - 1; i >= 0; i-- {
+		list = append(list, t.seen[i].roster)
+		if !from.Before(t.seen[i].at) {
+			return list, true
 		}
 	}
-	return true
+	return list, false
 }
--- a/pkg/kernel/kernel.go
+++ b/pkg/kernel/kernel.go
@@ -79,6 +79,16 @@
 	return t, nil
 }
 
+// Bind stores the service with the given name in into.
+func Bind[T any](f service.Finder, name service.Name, into *T) error {
+	found, err := Find[T](f, name)
+	if err != nil {
+		return err
+	}
+	*into = found
+	return nil
+}
+
 // Start starts every service after the services that it needs. When one fails,
 // those that already run are stopped again.
 func (k *Kernel) Start(ctx context.Context) error {
