--- a/Makefile
+++ b/Makefile
@@ -63,10 +63,15 @@
 
 # Checks the model of the core protocol; brings spin where it is missing.
 model:
-	@command -v spin >/dev/null || (apt-get update && apt-get install -y spin)
-	@command -v gcc >/dev/null || (apt-get update && apt-get install -y gcc libc6-dev)
+	@$(call bring,spin,spin)
+	@$(call bring,gcc,gcc libc6-dev)
 	spec/check.sh
 
+# Installs packages unless the program is there. Only one run at a time does, since apt
+# fails when another one holds its lock.
+bring = command -v $(1) >/dev/null || flock "$${TMPDIR:-/tmp}/balsamwharf-apt.lock" sh -c \
+	'command -v $(1) >/dev/null || (apt-get update && apt-get install -o DPkg::Lock::Timeout=120 -y $(2))'
+
 # Runs every fuzz target for a while; failing inputs become tests under testdata.
 FUZZTIME ?= 20s
 fuzz:
