--- a/internal/mesh/quota/holder.go
+++ b/internal/mesh/quota/holder.go
@@ -46,14 +46,15 @@
 	yieldUntil units.Instant
 }
 
-// holder returns the address of the daemon that holds the account.
+// holder returns the address of the daemon that holds the account. A daemon that ends
+// counts for the others as gone as soon as they learn of it, so it holds nothing itself.
 func (q *Quota) holder(id ids.Account) ids.Address {
 	now := q.Common.Clock.Now()
-	own := q.roll.Own().Address
-	yields := q.yields(id, now)
+	own := q.roll.Own()
+	leaves := own.Stopping || q.yields(id, now)
 	return q.first(id, func(a ids.Address) bool {
-		if a == own {
-			return !yields
+		if a == own.Address {
+			return !leaves
 		}
 		return !q.lost(a, now)
 	})
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -164,6 +164,19 @@
 	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1}, <-asked)
 }
 
+// A daemon that ends leaves its accounts to others at once: they may have learned already
+// that it ends, and both would lend the whole limit.
+func TestStoppingHolder(t *testing.T) {
+	other, asked := answering(t, link.Lent{Count: 1, Known: true})
+	q := open(t, other)
+	a := heldBy(t, q, q.roll.Own().Address)
+	q.roll.Update(func(own *roll.Record) { own.Stopping = true })
+	must.EqOp(t, other, q.holder(a.ID))
+	_, ok := q.Admit(t.Context(), a)
+	must.True(t, ok)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1}, <-asked)
+}
+
 // A daemon that is asked in the place of a holder that it reaches passes the question on,
 // and lends less than the whole limit while daemons that it can't reach use their parts.
 func TestStandIn(t *testing.T) {
