Bound the log by a setting, and never leave out a change of belief

The bound on log volume was a constant, dropped changes of belief when requests used it up (in TestLimitUnderFaults one daemon left out 1,469 lines in a second, with what it learned of others among them), and kept lines of the gatekeeper for every answered request. Now [logging] lines bounds it; requests served at the first attempt go first, then repeats of the same event, status and reason within a second; the rest is always written. Events say whether they are about one request.

--- a/internal/balsamd/balsamd.go
+++ b/internal/balsamd/balsamd.go
@@ -18,13 +18,15 @@
 	"balsamwharf.example/balsamwharf/internal/app"
 	"balsamwharf.example/balsamwharf/internal/certs"
 	"balsamwharf.example/balsamwharf/internal/commandline"
+	"balsamwharf.example/balsamwharf/internal/linelog"
 	"balsamwharf.example/balsamwharf/internal/settings"
+	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/platform/store"
 )
 
 // Main runs the daemon and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	return int(commandline.Daemon(args, stdout, stderr, load, func(_ string, set settings.Daemon) error { return run(set) }))
+	return int(commandline.Daemon(args, stdout, stderr, load, func(_ string, set settings.Daemon) error { return run(set, stdout) }))
 }
 
 func load(file string) (settings.Daemon, error) {
@@ -36,7 +38,7 @@
 }
 
 // run serves until the process is told to stop.
-func run(set settings.Daemon) error {
+func run(set settings.Daemon, stdout io.Writer) error {
 	identity, err := certs.Load(set.Trust)
 	if err != nil {
 		return err
@@ -45,20 +47,11 @@
 	if err != nil {
 		return errorx.Decorate(err, "log level")
 	}
-	logger, err := newLogger(level)
-	if err != nil {
-		return err
-	}
+	logger, flush := linelog.Open(stdout, level, units.Rate(set.Logging.Lines))
+	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	log := store.Log{Client: store.New(set.Platform.Log)}
 	a := &app.App{Settings: set, Certs: identity, Log: log, Logger: logger, Level: &level}
 	return a.Run(ctx)
 }
-
-func newLogger(level zap.AtomicLevel) (*zap.Logger, error) {
-	config := zap.NewProductionConfig()
-	config.Level = level
-	config.DisableStacktrace = true
-	return config.Build()
-}
--- a/internal/event/daemon.go
+++ b/internal/event/daemon.go
@@ -11,10 +11,10 @@
 
 // Events 200 to 299: requests.
 var (
-	RequestRefused = define(200, "refused", "A request was refused before it reached a backend server.")
-	RequestFailed  = define(201, "failed", "A request failed after it may have reached a backend server.")
-	AnswerCut      = define(202, "cut", "An answer ended early; the caller's connection was aborted.")
-	KeyRefused     = define(203, "key", "A request came without a valid key. The key itself is never logged.")
+	RequestRefused = defineRequest(200, "refused", "A request was refused before it reached a backend server.")
+	RequestFailed  = defineRequest(201, "failed", "A request failed after it may have reached a backend server.")
+	AnswerCut      = defineRequest(202, "cut", "An answer ended early; the caller's connection was aborted.")
+	KeyRefused     = defineRequest(203, "key", "A request came without a valid key. The key itself is never logged.")
 	PeerRefused    = define(204, "peer", "A connection between daemons was refused because its certificate does not fit.")
 	PeerLost       = define(205, "lost", "A connection to another daemon failed.")
 	ClaimRefused   = define(206, "claim", "A daemon sent a message in the name of another; the message was refused.")
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -18,10 +18,22 @@
 // Event numbers a kind of log line.
 type Event int
 
+// Subject is what an event's lines are about.
+type Subject string
+
+// The subjects.
+const (
+	// Belief lines tell what the process believes or how it fares. They are rare.
+	Belief Subject = "belief"
+	// Request lines tell about one request each.
+	Request Subject = "request"
+)
+
 // entry describes one event for the catalogue.
 type entry struct {
-	name string
-	text string
+	name    string
+	text    string
+	subject Subject
 }
 
 // catalogue is filled by the event lists in this package.
@@ -30,11 +42,20 @@
 // define adds an event to the catalogue. A number used twice is a programming
 // error that every test run shows.
 func define(number int, name, text string) Event {
+	return add(number, entry{name: name, text: text, subject: Belief})
+}
+
+// defineRequest adds an event whose lines are about one request each.
+func defineRequest(number int, name, text string) Event {
+	return add(number, entry{name: name, text: text, subject: Request})
+}
+
+func add(number int, added entry) Event {
 	e := Event(number)
 	if old, ok := catalogue[e]; ok {
-		panic(fmt.Sprintf("event %d is defined as %s and as %s", number, old.name, name))
+		panic(fmt.Sprintf("event %d is defined as %s and as %s", number, old.name, added.name))
 	}
-	catalogue[e] = entry{name: name, text: text}
+	catalogue[e] = added
 	return e
 }
 
@@ -44,6 +65,9 @@
 // Text returns the event's description for operators.
 func (e Event) Text() string { return catalogue[e].text }
 
+// Subject returns what the event's lines are about.
+func (e Event) Subject() Subject { return catalogue[e].subject }
+
 // Field returns the log field with the event's number.
 func (e Event) Field() zap.Field { return zap.Int("event", int(e)) }
 
--- /dev/null
+++ b/internal/linelog/linelog_test.go
@@ -0,0 +1,114 @@
+package linelog_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"balsamwharf.example/balsamwharf/internal/common"
+	"balsamwharf.example/balsamwharf/internal/event"
+	"balsamwharf.example/balsamwharf/internal/linelog"
+	"balsamwharf.example/balsamwharf/internal/timer"
+)
+
+// stalled is a standard output that nobody reads.
+type stalled struct{ release chan struct{} }
+
+func (s stalled) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Writing does not wait for a standard output that stalls.
+func TestStalledOutput(t *testing.T) {
+	out := stalled{release: make(chan struct{})}
+	sink := &linelog.Sink{To: out}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		sink.Run(ctx)
+	}()
+	began := time.Now()
+	for range 10000 {
+		_, err := sink.Write([]byte("line\n"))
+		must.NoError(t, err)
+	}
+	must.Less(t, time.Second, time.Since(began))
+	cancel()
+	close(out.release)
+	<-done
+}
+
+// opened returns a logger with a bound of 300 lines a second, and what it wrote.
+func opened() (*zap.Logger, *bytes.Buffer) {
+	var out bytes.Buffer
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	core := zapcore.NewCore(encoder, zapcore.AddSync(&out), zap.InfoLevel)
+	return zap.New(linelog.New(core, &timer.Timer{}, 300)), &out
+}
+
+func write(log *zap.Logger, n int, e event.Event, fields ...zap.Field) {
+	c := common.Common{Log: log}
+	for range n {
+		c.Info(e, fields...)
+	}
+}
+
+// Beyond the bound, lines of requests served without incident are left out before others,
+// and the number of lines left out is told.
+func TestBound(t *testing.T) {
+	log, out := opened()
+	write(log, 2000, event.RequestServed, zap.Int("sent", 1))
+	write(log, 2000, event.TargetRan, zap.String("how", "answered"))
+	served := strings.Count(out.String(), event.RequestServed.Text()) + strings.Count(out.String(), event.TargetRan.Text())
+	must.Between(t, 200, served, 500)
+	write(log, 100, event.RequestEnded)
+	must.EqOp(t, 100, strings.Count(out.String(), event.RequestEnded.Text()))
+	must.EqOp(t, 1, strings.Count(out.String(), event.LinesLeftOut.Text()))
+}
+
+// However many lines there are, the first of each cause and every change of what the process
+// believes are written.
+func TestNeverLeftOut(t *testing.T) {
+	cases := []struct {
+		name   string
+		event  event.Event
+		fields []zap.Field
+	}{
+		{name: "other reason", event: event.RequestEnded, fields: []zap.Field{zap.String("reason", "no target is left")}},
+		{name: "other status", event: event.RequestEnded, fields: []zap.Field{zap.String("reason", "late"), zap.Int("status", 504)}},
+		{name: "other event", event: event.AttemptFailed, fields: []zap.Field{zap.String("how", "lost")}},
+		{name: "repeat", event: event.TargetRan, fields: []zap.Field{zap.String("how", "answered"), zap.Bool("repeat", true)}},
+		{name: "served at the second attempt", event: event.RequestServed, fields: []zap.Field{zap.Int("sent", 2)}},
+		{name: "belief", event: event.BreakerOpened},
+		{name: "broken promise", event: event.InvariantBroke},
+	}
+	log, out := opened()
+	write(log, 3000, event.RequestEnded, zap.String("reason", "late"))
+	must.Less(t, 900, strings.Count(out.String(), event.RequestEnded.Text()))
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			before := strings.Count(out.String(), c.event.Text())
+			write(log, 1, c.event, c.fields...)
+			must.EqOp(t, before+1, strings.Count(out.String(), c.event.Text()))
+		})
+	}
+}
+
+// The end of a daemon does not wait for a standard output that nobody reads.
+func TestFlushIsBounded(t *testing.T) {
+	out := stalled{release: make(chan struct{})}
+	defer close(out.release)
+	log, flush := linelog.Open(out, zap.InfoLevel, 300)
+	write(log, 10, event.RequestEnded)
+	began := time.Now()
+	flush()
+	must.Less(t, 5*time.Second, time.Since(began))
+}
--- a/internal/meshd/daemon.go
+++ b/internal/meshd/daemon.go
@@ -15,6 +15,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/linelog"
 	"balsamwharf.example/balsamwharf/internal/mesh/accept"
 	"balsamwharf.example/balsamwharf/internal/mesh/beacon"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
@@ -22,7 +23,6 @@
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/gate"
 	"balsamwharf.example/balsamwharf/internal/mesh/lifecycle"
-	"balsamwharf.example/balsamwharf/internal/mesh/linelog"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/observe"
 	"balsamwharf.example/balsamwharf/internal/mesh/quota"
@@ -34,6 +34,7 @@
 	"balsamwharf.example/balsamwharf/internal/mesh/tally"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/timer"
+	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 	"balsamwharf.example/balsamwharf/platform/control"
@@ -59,34 +60,18 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
-	clock := &timer.Timer{}
 	level, err := zap.ParseAtomicLevel(d.Settings.Logging.Level)
 	if err != nil {
 		return errorx.Decorate(err, "log level")
 	}
 	d.level = level
-	written, finish := context.WithCancel(context.Background())
-	sink := &linelog.Sink{To: d.Stdout}
-	flushed := make(chan struct{})
-	go func() {
-		defer close(flushed)
-		sink.Run(written)
-	}()
-	defer func() {
-		finish()
-		<-flushed
-	}()
-	return d.serve(ctx, d.common(sink, clock), hangup)
-}
-
-func (d *Daemon) common(sink *linelog.Sink, clock *timer.Timer) *common.Common {
-	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-	logger := zap.New(linelog.New(zapcore.NewCore(encoder, sink, d.level), clock)).
-		With(zap.String("by", string(d.Settings.Identity.Daemon)))
-	return &common.Common{
-		Log: logger, Mesh: d.Settings, Clock: clock, Metrics: metrics.NewRegistry(),
+	logger, flush := linelog.Open(d.Stdout, d.level, units.Rate(d.Settings.Logging.Lines))
+	defer flush()
+	logger = logger.With(zap.String("by", string(d.Settings.Identity.Daemon)))
+	return d.serve(ctx, &common.Common{
+		Log: logger, Mesh: d.Settings, Clock: &timer.Timer{}, Metrics: metrics.NewRegistry(),
 		Invariant: &invariant.Invariant{Log: logger},
-	}
+	}, hangup)
 }
 
 func (d *Daemon) serve(ctx context.Context, c *common.Common, hangup <-chan os.Signal) error {
@@ -133,7 +118,7 @@
 	}
 	d.level.SetLevel(level)
 	changed := set
-	changed.Logging = d.Settings.Logging
+	changed.Logging.Level = d.Settings.Logging.Level
 	c.Info(event.SettingsReread, zap.Bool("restart", changed != d.Settings))
 }
 
