A holder that others can't reach lends only its own part

It lent the whole limit to its own callers, while the others used their equal parts of it for 1.5 s and then had a stand-in; it learned of that by a question each second, 2.9 s after the link was lost. Now a holder that was asked a moment ago and hears nothing for 0.3 s asks whether the others get no answer from it, and until they have another holder it keeps to its own part.

TestHolderOutOfReach fails without the part; TestQuietHolderChecks and TestSilent cover when it asks and what it is told.

--- a/internal/event/mesh.go
+++ b/internal/event/mesh.go
@@ -24,6 +24,7 @@
 	QuotaShort     = defineRequest(750, "quota", "A client account is over its rate; the request is refused.")
 	HolderSilent   = define(751, "holder", "The daemon that counts an account's requests does not answer; a local share applies.")
 	HolderYields   = define(752, "yields", "Others have lost this daemon, which holds an account; it borrows from the one that stands in.")
+	HolderAloof    = define(753, "aloof", "Others can't reach this daemon, which holds an account; until they have another holder it lends only its own part.")
 	LinesLeftOut   = define(760, "leftout", "Log lines were left out, because the bound on log volume was reached or standard output did not take them.")
 	SettingsReread = define(761, "reread", "The daemon read its settings file again.")
 )
--- a/internal/mesh/link/message.go
+++ b/internal/mesh/link/message.go
@@ -57,9 +57,10 @@
 	Account ids.Account `cbor:"1,keyasint"`
 	Count   int         `cbor:"2,keyasint"`
 	// Holder is set when the receiver is to ask another daemon, which the sender can't
-	// reach.
+	// reach. In a Check it is the sender.
 	Holder ids.Address `cbor:"3,keyasint,omitempty"`
-	// Check asks only whether the receiver stands in for the sender, which holds the account.
+	// Check asks only whether the receiver stands in for the sender, which holds the account,
+	// or can't reach it.
 	Check bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -68,8 +69,10 @@
 	Count int `cbor:"1,keyasint,omitempty"`
 	// Known is false when the holder has no configuration with the account.
 	Known bool `cbor:"2,keyasint,omitempty"`
-	// StandsIn answers a Check.
+	// StandsIn and Silent answer a Check: the receiver lends in the sender's place, or got no
+	// answer from it lately by any way.
 	StandsIn bool `cbor:"3,keyasint,omitempty"`
+	Silent   bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Pull asks for the configuration and the fleet's records, by a daemon that can't
--- a/internal/mesh/quota/holder.go
+++ b/internal/mesh/quota/holder.go
@@ -27,6 +27,14 @@
 	// checkPause lies between two questions whether another daemon stands in: within the
 	// time in which a holder counts as lost.
 	checkPause = time.Second
+	// quietAfter is how long after the last question of another daemon a holder asks whether
+	// the others can't reach it: longer than such a question takes.
+	quietAfter = 300 * time.Millisecond
+	// quietUntil is after how long without questions a holder takes it that nobody has any.
+	quietUntil = 2 * time.Second
+	// aloofTime is for how long a holder that others can't reach keeps to its own part of the
+	// limit: until they have another holder.
+	aloofTime = lostAfter
 	// yieldTime is for how long a holder leaves an account to the one that stands in.
 	yieldTime = 2 * time.Second
 	// aloneTime is for how long a daemon that can't be reached is reckoned to use its own
@@ -40,10 +48,21 @@
 	lent   units.Instant
 	// standing is set while this daemon lends in the place of the holder.
 	standing bool
-	// checkNext is when the daemon that would stand in is asked again whether it does.
-	checkNext units.Instant
+	// asked is when another daemon last borrowed.
+	asked units.Instant
+	// checked is when the daemon that would stand in was last asked whether it does.
+	checked units.Instant
 	// yieldUntil is set while another daemon stands in for this one.
 	yieldUntil units.Instant
+	// aloofUntil is set while others can't reach this daemon and use their own parts.
+	aloofUntil units.Instant
+}
+
+// checkDue reports whether it is time to ask if others have lost this daemon.
+func (h *account) checkDue(now units.Instant) bool {
+	since, quiet := now.Sub(h.checked), now.Sub(h.asked)
+	return h.checked == 0 || since >= checkPause ||
+		(since >= quietAfter && quiet >= quietAfter && quiet < quietUntil)
 }
 
 // holder returns the address of the daemon that holds the account. A daemon that ends
@@ -109,8 +128,9 @@
 // don't borrow from two.
 func (q *Quota) Lend(ctx context.Context, b link.Borrow) link.Lent {
 	if b.Check {
-		return link.Lent{Known: true, StandsIn: q.standsIn(b.Account)}
+		return link.Lent{Known: true, StandsIn: q.standsIn(b.Account), Silent: q.isSilent(b.Holder)}
 	}
+	q.noteAsked(b.Account)
 	holder := b.Holder
 	if holder == "" {
 		holder = q.holder(b.Account)
@@ -138,7 +158,7 @@
 
 // lend takes up to count requests from the account's bucket.
 func (q *Quota) lend(a policy.Account, count int, now units.Instant) int {
-	rate := units.Rate(float64(a.Rate) * q.reach(now))
+	rate := units.Rate(float64(a.Rate) * q.part(a.ID, now))
 	standsIn := q.first(a.ID, func(ids.Address) bool { return true }) != q.roll.Own().Address
 	_, again := q.roll.Before()
 	share := primeShare
@@ -160,8 +180,8 @@
 		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(share*float64(a.Burst))))
 	}
 	h.lent, h.standing = now, standsIn
-	if !standsIn && !now.Before(h.checkNext) {
-		h.checkNext = now.Add(checkPause)
+	if !standsIn && h.checkDue(now) {
+		h.checked = now
 		go q.check(a.ID)
 	}
 	n := 0
@@ -180,9 +200,28 @@
 	return ok && h.standing && now.Sub(h.lent) < idleTime
 }
 
+// noteAsked notes that another daemon borrows, so it reaches this one.
+func (q *Quota) noteAsked(id ids.Account) {
+	now := q.Common.Clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if h, ok := q.held[id]; ok {
+		h.asked, h.aloofUntil = now, 0
+	}
+}
+
+// isSilent reports whether a daemon gave no answer lately by any way.
+func (q *Quota) isSilent(a ids.Address) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	_, silent := q.silent[a]
+	return silent && q.reachable.Doubted(a)
+}
+
 // check asks the daemon that would stand in for this one whether it does: others may have
 // lost this daemon, although it reaches them. It then leaves the account to that daemon for
-// a while.
+// a while. Until that one stands in, the others use their own parts of the limit, and so
+// does this one.
 func (q *Quota) check(id ids.Account) {
 	now := q.Common.Clock.Now()
 	own := q.roll.Own().Address
@@ -190,16 +229,36 @@
 	if next == own {
 		return
 	}
-	lent, err := q.ask(q.ctx, next, link.Borrow{Account: id, Check: true}, passTimeout)
-	if err != nil || !lent.StandsIn {
+	lent, err := q.ask(q.ctx, next, link.Borrow{Account: id, Check: true, Holder: own}, passTimeout)
+	if err != nil || (!lent.StandsIn && !lent.Silent) {
 		return
 	}
-	q.Common.Info(event.HolderYields, zap.String("account", string(id)), zap.String("holder", string(next)))
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if h, ok := q.held[id]; ok {
-		h.yieldUntil = q.Common.Clock.Now().Add(yieldTime)
+	h, ok := q.held[id]
+	if !ok {
+		return
+	}
+	now = q.Common.Clock.Now()
+	if lent.StandsIn {
+		h.yieldUntil = now.Add(yieldTime)
+		q.Common.Info(event.HolderYields, zap.String("account", string(id)), zap.String("holder", string(next)))
+		return
+	}
+	h.aloofUntil = now.Add(aloofTime)
+	q.Common.Info(event.HolderAloof, zap.String("account", string(id)), zap.String("asked", string(next)))
+}
+
+// part returns the part of an account's limit that this daemon may lend.
+func (q *Quota) part(id ids.Account, now units.Instant) float64 {
+	q.mu.Lock()
+	h, ok := q.held[id]
+	aloof := ok && now.Before(h.aloofUntil)
+	q.mu.Unlock()
+	if aloof {
+		return 1 / float64(max(len(q.roll.All()), 1))
 	}
+	return q.reach(now)
 }
 
 // reach returns the part of the fleet that this daemon can reach. The others use their
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
@@ -153,7 +154,7 @@
 	own := q.roll.Own().Address
 	a := heldBy(t, q, own)
 	q.lend(a, 1, q.Common.Clock.Now())
-	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Check: true}, <-asked)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Check: true, Holder: own}, <-asked)
 	until := time.Now().Add(5 * time.Second)
 	for q.holder(a.ID) != other {
 		must.False(t, time.Now().After(until))
@@ -164,6 +165,53 @@
 	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1}, <-asked)
 }
 
+// A holder that others can't reach lends only its own part until they have another one.
+func TestHolderOutOfReach(t *testing.T) {
+	other, asked := answering(t, link.Lent{Known: true, Silent: true})
+	q := open(t, other)
+	own := q.roll.Own().Address
+	a := heldBy(t, q, own)
+	q.lend(a, 100, q.Common.Clock.Now())
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Check: true, Holder: own}, <-asked)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return q.part(a.ID, q.Common.Clock.Now()) == 0.5 }), wait.Timeout(5*time.Second)))
+	now := q.Common.Clock.Now()
+	q.lend(a, 100, now)
+	must.EqOp(t, 5, q.lend(a, 100, now.Add(time.Second)))
+	q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 1})
+	must.EqOp(t, 1.0, q.part(a.ID, q.Common.Clock.Now()))
+}
+
+// A holder finds out soon when others stop asking because they can't reach it.
+func TestQuietHolderChecks(t *testing.T) {
+	cases := []struct {
+		name  string
+		h     account
+		now   units.Instant
+		check bool
+	}{
+		{name: "first loan", now: 5e9, check: true},
+		{name: "asked a moment ago", h: account{checked: 4.6e9, asked: 4.9e9}, now: 5e9},
+		{name: "quiet for a while", h: account{checked: 4.6e9, asked: 4.6e9}, now: 5e9, check: true},
+		{name: "checked just now", h: account{checked: 4.9e9, asked: 4.6e9}, now: 5e9},
+		{name: "nobody asks", h: account{checked: 4.6e9, asked: 1e9}, now: 5e9},
+		{name: "once a second in any case", h: account{checked: 4e9, asked: 4.9e9}, now: 5e9, check: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { must.EqOp(t, c.check, c.h.checkDue(c.now)) })
+	}
+}
+
+// A daemon tells the holder that asks whether it got no answer from it.
+func TestSilent(t *testing.T) {
+	holder := dead(t)
+	q := open(t, holder)
+	a := heldBy(t, q, holder)
+	check := link.Borrow{Account: a.ID, Check: true, Holder: holder}
+	must.False(t, q.Lend(t.Context(), check).Silent)
+	_, _ = q.Admit(t.Context(), a)
+	must.True(t, q.Lend(t.Context(), check).Silent)
+}
+
 // A daemon that ends leaves its accounts to others at once: they may have learned already
 // that it ends, and both would lend the whole limit.
 func TestStoppingHolder(t *testing.T) {
