--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -136,8 +136,10 @@
 func weave(entry, gates []Step) []Step {
 	var woven []Step
 	for _, s := range entry {
+		// A gatekeeper that declines writes no line, and may be asked again later.
+		declined := s.Fields["how"] == "declined"
 		for i := 0; i < len(gates); {
-			if gates[i].By != s.Daemon {
+			if declined || gates[i].By != s.Daemon {
 				i++
 				continue
 			}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,6 +39,20 @@
 	}, got)
 }
 
+// A gatekeeper that declined at first and ran the request later has its lines at the later
+// attempt.
+func TestDeclinedBefore(t *testing.T) {
+	log := `{"by":"vm1","event":742,"id":"a1","daemon":"vm2","how":"declined"}
+{"by":"vm1","event":742,"id":"a1","daemon":"vm3","how":"declined"}
+{"by":"vm1","event":742,"id":"a1","daemon":"vm2","how":"lost"}
+{"by":"vm2","event":743,"id":"a1","how":"broken"}
+`
+	steps, err := explain.Steps("a1", []io.Reader{strings.NewReader(log)})
+	must.NoError(t, err)
+	must.Len(t, 4, steps)
+	must.EqOp(t, "vm2: ran (743) how=broken", steps[2].String())
+}
+
 func TestUnknownRequest(t *testing.T) {
 	steps, err := explain.Steps("zz", []io.Reader{strings.NewReader(entryLog)})
 	must.NoError(t, err)
--- a/internal/mesh/router/attempts.go
+++ b/internal/mesh/router/attempts.go
@@ -53,8 +53,10 @@
 	// passed holds the gatekeepers that are not asked again for now.
 	passed map[ids.Address]bool
 	// used holds those whose target got the request.
-	used   map[ids.Address]bool
-	target roll.Record
+	used map[ids.Address]bool
+	// target is the one that was asked last, and blamed the last one at which the request
+	// was lost or failed.
+	target, blamed roll.Record
 	// failure is the last answer that told of a failure of a target.
 	failure *request.Answer
 	// suspect is set when other requests failed there too.
@@ -123,10 +125,11 @@
 		j.use(to)
 		j.ran++
 		if m.Failure {
-			j.failure, j.suspect = &m.Answer, m.Load.Shut
+			j.failure, j.suspect, j.blamed = &m.Answer, m.Load.Shut, to
 			r.sayAttempt(j, "failed", http.StatusText(m.Answer.Status))
 			return request.Answer{}, false
 		}
+		j.blamed = roll.Record{}
 		r.counts.attempt("answered")
 		r.size.Note(j.route.ID, units.Bytes(len(j.arrival.Body)+len(m.Answer.Body)))
 		return m.Answer, true
@@ -144,7 +147,7 @@
 	case forward.Lost:
 		j.use(to)
 		j.ran++
-		j.lost = true
+		j.lost, j.blamed = true, to
 		r.sayAttempt(j, "lost", m.Detail)
 	}
 	return request.Answer{}, false
@@ -163,6 +166,14 @@
 		zap.Int("sent", j.sent), zap.Duration("after", r.Common.Clock.Now().Sub(j.began)))
 }
 
+// decisive returns the target whose doing the end of the request was.
+func (j *journey) decisive() roll.Record {
+	if j.blamed.Address == "" {
+		return j.target
+	}
+	return j.blamed
+}
+
 // mayRepeat reports whether the request may go to another target. One that no target
 // has seen may always; another one only if it is idempotent or was turned away.
 func (r *Router) mayRepeat(j *journey) bool {
--- a/internal/mesh/router/attempts_test.go
+++ b/internal/mesh/router/attempts_test.go
@@ -13,7 +13,9 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
+	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/policy"
 	"balsamwharf.example/balsamwharf/internal/mesh/reachable"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
@@ -110,6 +112,23 @@
 	}
 }
 
+// The line about the end names the target that lost the request, not one that declined it
+// afterwards.
+func TestDecisive(t *testing.T) {
+	run(t, func(t *testing.T, r *Router) {
+		r.counts = newCounts(r.Common.Metrics)
+		bad, full := roll.Record{Address: "vm2:1"}, roll.Record{Address: "vm3:1"}
+		j := reading()
+		j.target = bad
+		r.learn(j, bad, forward.Lost{})
+		j.target = full
+		r.learn(j, full, forward.Declined{Reason: link.ReasonFull})
+		must.Eq(t, bad, j.decisive())
+		r.learn(j, full, forward.Answered{})
+		must.Eq(t, full, j.decisive())
+	})
+}
+
 // A broken promise is found inside the program.
 func TestPromises(t *testing.T) {
 	unrun := verdict.New(verdict.Unrun, http.StatusServiceUnavailable, "no target took the request")
--- a/internal/mesh/router/note.go
+++ b/internal/mesh/router/note.go
@@ -70,11 +70,12 @@
 	now := r.Common.Clock.Now()
 	took := now.Sub(j.began)
 	r.counts.took.Update(int64(took / time.Millisecond))
+	decisive := j.decisive()
 	fields := []zap.Field{
 		zap.String("id", string(j.arrival.ID)), zap.String("route", string(j.route.ID)),
 		zap.String("service", string(j.service)), zap.String("account", string(j.account.ID)),
 		zap.Uint64("version", uint64(j.version)), zap.Duration("age", r.config.Age(now)),
-		zap.String("daemon", string(j.target.Daemon)), zap.String("target", string(j.target.Target)),
+		zap.String("daemon", string(decisive.Daemon)), zap.String("target", string(decisive.Target)),
 		zap.Int("sent", j.sent), zap.Duration("took", took), zap.Duration("timeout", j.timeout()),
 	}
 	var e *verdict.Error
