A holder that ends has the next one lend in its place

Now it says that the receiver lends in its place, also for those that still ask it. The same holds for one that yields.

TestInstead fails without the rule, and TestStoppingHolder asks in all three ways. The files of the quota are split by what they decide.

--- a/internal/mesh/link/message.go
+++ b/internal/mesh/link/message.go
@@ -62,6 +62,9 @@
 	// Check asks only whether the receiver stands in for the sender, which holds the account,
 	// or can't reach it.
 	Check bool `cbor:"4,keyasint,omitempty"`
+	// Instead is set by the holder itself while it can't lend: the receiver lends, also if
+	// it takes the sender for the holder.
+	Instead bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Lent answers a Borrow.
--- a/internal/mesh/quota/borrow.go
+++ b/internal/mesh/quota/borrow.go
@@ -45,7 +45,7 @@
 
 // borrow asks the holder, through a neighbour if need be.
 func (q *Quota) borrow(ctx context.Context, a policy.Account, holder ids.Address) bool {
-	b := link.Borrow{Account: a.ID, Count: q.batch(a.ID)}
+	b := q.question(a.ID, q.batch(a.ID), "")
 	if !q.reachable.Doubted(holder) {
 		lent, err := q.ask(ctx, holder, b, askTimeout)
 		if err == nil {
@@ -58,7 +58,7 @@
 		q.doubt(holder, err)
 		q.Common.Info(event.HolderSilent, zap.String("account", string(a.ID)), zap.String("holder", string(holder)), common.Cause(err))
 	}
-	b.Holder = holder
+	b.Holder, b.Instead = holder, false
 	if at, ok := q.neighbour(holder); ok {
 		if lent, err := q.ask(ctx, at, b, askTimeout); err == nil {
 			q.heard(holder)
--- /dev/null
+++ b/internal/mesh/quota/lending.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/bucket"
+	"balsamwharf.example/balsamwharf/internal/mesh/link"
+	"balsamwharf.example/balsamwharf/internal/mesh/policy"
+	"balsamwharf.example/balsamwharf/internal/units"
+)
+
+const (
+	// primeShare is the part of the burst that a holder begins with when it starts for the
+	// first time, and againShare otherwise: the account may have spent its burst at an
+	// earlier process of the daemon, or at the holder that it stands in for.
+	primeShare = 0.5
+	againShare = 0.25
+	// idleTime is after how long without a loan a daemon that stands in for a holder begins
+	// anew: the holder has lent meanwhile.
+	idleTime = time.Second
+)
+
+// account is what a holder keeps of one client account.
+type account struct {
+	bucket bucket.Bucket
+	lent   units.Instant
+	// standing is set while this daemon lends in the place of the holder.
+	standing bool
+	// asked is when another daemon last borrowed.
+	asked units.Instant
+	// checked is when the daemon that would stand in was last asked whether it does.
+	checked units.Instant
+	// yieldUntil is set while another daemon stands in for this one.
+	yieldUntil units.Instant
+	// aloofUntil is set while others can't reach this daemon and use their own parts.
+	aloofUntil units.Instant
+}
+
+// Lend answers another daemon. One that holds the account itself lends; another one asks
+// the holder, as far as it can reach it, so that daemons with different views of the fleet
+// don't borrow from two.
+func (q *Quota) Lend(ctx context.Context, b link.Borrow) link.Lent {
+	if b.Check {
+		return link.Lent{Known: true, StandsIn: q.standsIn(b.Account), Silent: q.isSilent(b.Holder)}
+	}
+	q.noteAsked(b.Account)
+	if lent, ok := q.pass(ctx, b); ok {
+		return lent
+	}
+	p, ok := q.config.Policy()
+	if !ok {
+		return link.Lent{}
+	}
+	a, ok := p.AccountByID(b.Account)
+	if !ok {
+		return link.Lent{}
+	}
+	return link.Lent{Count: q.lend(a, b.Count, q.Common.Clock.Now()), Known: true}
+}
+
+// pass asks the holder for another daemon; it is false when this one has to lend.
+func (q *Quota) pass(ctx context.Context, b link.Borrow) (link.Lent, bool) {
+	own := q.Common.Mesh.Sockets.Known()
+	holder := b.Holder
+	if holder == "" || (holder == own && q.leaves(b.Account)) {
+		holder = q.holder(b.Account)
+	}
+	if b.Instead || holder == own {
+		return link.Lent{}, false
+	}
+	lent, err := q.ask(ctx, holder, q.question(b.Account, b.Count, holder), passTimeout)
+	if err == nil {
+		return lent, true
+	}
+	if b.Holder != "" {
+		return link.Lent{}, true
+	}
+	q.doubt(holder, err)
+	return link.Lent{}, false
+}
+
+// lend takes up to count requests from the account's bucket.
+func (q *Quota) lend(a policy.Account, count int, now units.Instant) int {
+	rate := units.Rate(float64(a.Rate) * q.part(a.ID, now))
+	standsIn := q.first(a.ID, anyone) != q.roll.Own().Address
+	_, again := q.roll.Before()
+	share := primeShare
+	if standsIn || again {
+		share = againShare
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	h, ok := q.held[a.ID]
+	if !ok {
+		h = &account{bucket: bucket.Bucket{Rate: rate, Burst: a.Burst}}
+		h.bucket.Prime(now, max(units.Tokens(share*float64(a.Burst)), units.Token))
+		q.held[a.ID] = h
+	}
+	if h.bucket.Rate != rate || h.bucket.Burst != a.Burst {
+		h.bucket.Resize(now, rate, a.Burst)
+	}
+	if standsIn && now.Sub(h.lent) > idleTime {
+		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(share*float64(a.Burst))))
+	}
+	h.lent, h.standing = now, standsIn
+	if !standsIn && h.checkDue(now) {
+		h.checked = now
+		go q.check(a.ID)
+	}
+	n := 0
+	for n < count && h.bucket.Take(now, units.Token) {
+		n++
+	}
+	return n
+}
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -162,7 +162,7 @@
 	}
 	_, ok := q.Admit(t.Context(), a)
 	must.True(t, ok)
-	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1}, <-asked)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
 }
 
 // A holder that others can't reach lends only its own part until they have another one.
@@ -222,7 +222,36 @@
 	must.EqOp(t, other, q.holder(a.ID))
 	_, ok := q.Admit(t.Context(), a)
 	must.True(t, ok)
-	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1}, <-asked)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
+	// Others that don't know yet that it ends get the next holder's answer.
+	for _, b := range []link.Borrow{{Account: a.ID, Count: 2}, {Account: a.ID, Count: 2, Holder: q.roll.Own().Address}} {
+		must.EqOp(t, 1, q.Lend(t.Context(), b).Count)
+		must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 2, Instead: true}, <-asked)
+	}
+}
+
+// The next holder lends when one that ends asks it, although it does not know that yet.
+func TestInstead(t *testing.T) {
+	holder, asked := answering(t, link.Lent{Known: true})
+	q := open(t, holder)
+	a := heldBy(t, q, holder)
+	q.config.Read = func([]byte) (*policy.Policy, error) {
+		b := policy.Builder{Version: 1}
+		b.Account(a, nil)
+		return b.Policy(), nil
+	}
+	q.config.Offer([]byte("any"), "test")
+	must.EqOp(t, 2, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 2, Instead: true}).Count)
+	must.SliceEmpty(t, drained(asked))
+}
+
+// drained returns what waits in a channel.
+func drained(c <-chan link.Message) []link.Message {
+	var all []link.Message
+	for len(c) > 0 {
+		all = append(all, <-c)
+	}
+	return all
 }
 
 // A daemon that is asked in the place of a holder that it reaches passes the question on,
