--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo bench test format lint names generate unit race red soak model fuzz
+.PHONY: all build demo bench test format lint names clocks generate unit race red soak model fuzz
 
 all: build
 
@@ -18,7 +18,7 @@
 	$(GO) run ./cmd/balsamdocs
 
 # Everything that must hold before a change lands.
-test: format lint names generate unit race model
+test: format lint names clocks generate unit race model
 
 format:
 	@out=$$($(GO) tool gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted by gofumpt:"; echo "$$out"; exit 1; fi
@@ -33,6 +33,12 @@
 names:
 	@if grep -rnE '$(NAMES)' --include=*.go internal pkg cmd; then echo "names of the platform outside platform/"; exit 1; fi
 
+# Decisions on a platform go by steady time; the time of day jumps. Deadlines of sockets are
+# steady too.
+clocks:
+	@if grep -rnE 'time\.(Now|Since|Until)\(|\.Wall\(' --include=*.go --exclude=*_test.go internal/mesh internal/meshd platform/control platform/dialect platform/document platform/store \
+	  | grep -v 'Deadline(time\.Now()'; then echo "the time of day in code that runs on a platform"; exit 1; fi
+
 # Generated files must be current.
 generate:
 	$(GO) run ./cmd/balsamdocs --check
--- a/internal/fleet/daemon.go
+++ b/internal/fleet/daemon.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -103,31 +104,35 @@
 // is in force.
 func (f *Fleet) ready() error {
 	deadline := time.Now().Add(readyTimeout)
-	for time.Now().Before(deadline) {
-		if f.complete() {
+	for {
+		missing := f.missing()
+		if missing == "" {
 			return nil
 		}
+		if !time.Now().Before(deadline) {
+			return errorx.TimeoutElapsed.New("not every daemon knows every target after %s: %s", readyTimeout, missing)
+		}
 		time.Sleep(readyPause)
 	}
-	return errorx.TimeoutElapsed.New("not every daemon knows every target after %s", readyTimeout)
 }
 
-func (f *Fleet) complete() bool {
+// missing tells what the first daemon lacks that does not know the whole fleet, or nothing.
+func (f *Fleet) missing() string {
 	want := map[ids.Service]int{}
 	for _, d := range f.Daemons {
 		want[d.Service]++
 	}
 	for _, d := range f.Daemons {
-		if len(d.App.Roster().Entries) != len(f.Daemons) {
-			return false
+		if n := len(d.App.Roster().Entries); n != len(f.Daemons) {
+			return fmt.Sprintf("%s has a roster of %d daemons instead of %d", d.ID, n, len(f.Daemons))
 		}
 		for id, n := range want {
-			if d.App.Targets(id) != n {
-				return false
+			if known := d.App.Targets(id); known != n {
+				return fmt.Sprintf("%s knows %d targets of %s instead of %d", d.ID, known, id, n)
 			}
 		}
 	}
-	return true
+	return ""
 }
 
 // WaitFor waits until a condition holds; it is for conditions that have no event
