--- a/internal/mesh/quota/holder.go
+++ b/internal/mesh/quota/holder.go
@@ -13,6 +13,10 @@
 // part of the limits. One that does not come back by then has been lost.
 const aloneTime = 20 * time.Second
 
+// unreadPart is the part of a limit that a daemon lends before it has read who else there
+// is. The users' deployments have 27 daemons and more; a few may start at once.
+const unreadPart = 0.1
+
 // holder returns the address of the daemon that holds the account. A daemon that ends
 // counts for the others as gone as soon as they learn of it, so it holds nothing itself.
 func (q *Quota) holder(id ids.Account) ids.Address {
@@ -89,6 +93,9 @@
 
 // part returns the part of an account's limit that this daemon may lend.
 func (q *Quota) part(id ids.Account, now units.Instant) float64 {
+	if !q.roll.Loaded() {
+		return unreadPart
+	}
 	q.mu.Lock()
 	h, ok := q.held[id]
 	aloof := ok && now.Before(h.aloofUntil)
--- a/internal/mesh/quota/lending.go
+++ b/internal/mesh/quota/lending.go
@@ -82,7 +82,8 @@
 
 // lend takes up to count requests from the account's bucket.
 func (q *Quota) lend(a policy.Account, count int, now units.Instant) int {
-	rate := units.Rate(float64(a.Rate) * q.part(a.ID, now))
+	part := q.part(a.ID, now)
+	rate := units.Rate(float64(a.Rate) * part)
 	standsIn := q.first(a.ID, anyone) != q.roll.Own().Address
 	_, again := q.roll.Before()
 	share := primeShare
@@ -94,7 +95,7 @@
 	h, ok := q.held[a.ID]
 	if !ok {
 		h = &account{bucket: bucket.Bucket{Rate: rate, Burst: a.Burst}}
-		h.bucket.Prime(now, max(units.Tokens(share*float64(a.Burst)), units.Token))
+		h.bucket.Prime(now, max(units.Tokens(min(share, part)*float64(a.Burst)), units.Token))
 		q.held[a.ID] = h
 	}
 	if h.bucket.Rate != rate || h.bucket.Burst != a.Burst {
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -23,16 +23,23 @@
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
-// open gives the quota of a daemon that knows the daemons at the addresses.
+// open gives the quota of a daemon that has read the fleet's list and knows the daemons at
+// the addresses.
 func open(t testing.TB, others ...ids.Address) *Quota {
+	t.Helper()
+	store := &keyedstub.Stub{}
+	q := openWith(t, store, others...)
+	must.NoError(t, q.roll.AwaitLoaded(t.Context()))
+	return q
+}
+
+func openWith(t testing.TB, store *keyedstub.Stub, others ...ids.Address) *Quota {
 	t.Helper()
 	c := common.Discard()
 	c.Mesh.Identity.Daemon, c.Mesh.Identity.Centre = "vm0", "quito"
 	c.Mesh.Sockets.Peers = "127.0.0.1:1"
 	c.Mesh.Store.Timeout, c.Mesh.Store.Wait = time.Second, time.Second
 	q := &Quota{Common: c}
-	store := &keyedstub.Stub{}
-	store.SetAway(true)
 	r := &roll.Roll{Common: c, Store: store}
 	var k kernel.Kernel
 	for _, s := range []service.Service{
@@ -212,6 +219,20 @@
 	must.True(t, q.Lend(t.Context(), check).Silent)
 }
 
+// A daemon that does not know yet who else there is lends little.
+func TestListUnread(t *testing.T) {
+	store := &keyedstub.Stub{}
+	store.SetAway(true)
+	q := openWith(t, store)
+	a := policy.Account{ID: "school", Rate: 100, Burst: 20 * units.Token}
+	now := q.Common.Clock.Now()
+	must.EqOp(t, 2, q.lend(a, 100, now))
+	must.EqOp(t, 10, q.lend(a, 100, now.Add(time.Second)))
+	store.SetAway(false)
+	must.NoError(t, q.roll.AwaitLoaded(t.Context()))
+	must.EqOp(t, 1.0, q.part(a.ID, now))
+}
+
 // A daemon that ends leaves its accounts to others at once: they may have learned already
 // that it ends, and both would lend the whole limit.
 func TestStoppingHolder(t *testing.T) {
--- a/internal/mesh/roll/roll.go
+++ b/internal/mesh/roll/roll.go
@@ -113,9 +113,12 @@
 	return r.before, r.hasBefore
 }
 
+// Loaded reports whether the fleet's records were read. Until then others may be missing.
+func (r *Roll) Loaded() bool { return r.follow.Loaded() }
+
 // AwaitLoaded returns once the fleet's records were read, or with the context's error.
 func (r *Roll) AwaitLoaded(ctx context.Context) error {
-	for !r.follow.Loaded() {
+	for !r.Loaded() {
 		if err := r.Common.Clock.Sleep(ctx, loadPoll); err != nil {
 			return err
 		}
@@ -202,7 +205,7 @@
 func (r *Roll) RawOwn() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.follow.Loaded() {
+	if !r.Loaded() {
 		return nil
 	}
 	raw, err := encode(r.own)
