Remember rosters in their order after a gap

So it went on holding the whole limit as the only daemon of the older roster, while the newer one, which it had read, split the limit over two. Now the gap is noted before any of the rosters is taken down.

TestBroken fails in two of four cases without it, TestNewerRosterCounts too.

--- a/internal/tenure/tenure.go
+++ b/internal/tenure/tenure.go
@@ -55,6 +55,10 @@
 func (t *Tenure) Observe(now units.Instant, r roster.Roster) Change {
 	defer func() { t.last = now }()
 	change := Same
+	if len(t.seen) > 0 && now.Sub(t.last) > t.Gap && t.brings(r) {
+		t.seen = nil
+		change = Broken
+	}
 	for i, one := range r.All() {
 		if at := t.find(one); at >= 0 {
 			if i == 0 && !t.seen[at].force {
@@ -63,10 +67,6 @@
 			}
 			continue
 		}
-		if len(t.seen) > 0 && now.Sub(t.last) > t.Gap && change != Broken {
-			t.seen = nil
-			change = Broken
-		}
 		if change == Same {
 			change = Next
 		}
@@ -78,6 +78,11 @@
 	return change
 }
 
+// brings reports whether the roster, or one that was read after it, is new.
+func (t *Tenure) brings(r roster.Roster) bool {
+	return slices.ContainsFunc(r.All(), func(one roster.Roster) bool { return t.find(one) < 0 })
+}
+
 // find returns the place of a roster; one without a version is only compared
 // with the newest.
 func (t *Tenure) find(r roster.Roster) int {
