Say in the log what a quota's decision went by

A refusal told the account's rate, and nothing of who decided. Its line now says who holds the account and how it was decided: by this daemon's bucket, by the holder, by what it lent before or lacked a moment ago, or alone.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,7 +40,7 @@
 
 // shown lists the fields of a step in the order in which they are printed.
 var shown = []string{
-	"how", "detail", "status", "verdict", "reason", "route", "service", "account", "rate", "version", "age", "daemon",
+	"how", "detail", "status", "verdict", "reason", "route", "service", "account", "rate", "holder", "version", "age", "daemon",
 	"target", "sent", "after", "waited", "took", "timeout", "running", "waiting", "shut", "trial", "repeat",
 }
 
--- a/internal/mesh/quota/borrow.go
+++ b/internal/mesh/quota/borrow.go
@@ -17,21 +17,21 @@
 )
 
 // stock decides by what this daemon has, if that is enough to decide.
-func (q *Quota) stock(a policy.Account, now units.Instant) (decided, ok bool) {
+func (q *Quota) stock(a policy.Account, now units.Instant) (How, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.share(a.ID)
 	s.count(now)
 	switch {
 	case now.Before(s.aloneUntil):
-		return true, s.alone(a, now, len(q.roll.All()))
+		return Alone, s.alone(a, now, len(q.roll.All()))
 	case s.borrowed > 0 && now.Before(s.expires):
 		s.borrowed--
-		return true, true
+		return Stocked, true
 	case now.Before(s.emptyUntil):
-		return true, false
+		return Empty, false
 	}
-	return false, false
+	return "", false
 }
 
 func (q *Quota) share(id ids.Account) *share {
@@ -44,16 +44,16 @@
 }
 
 // borrow asks the holder, through a neighbour if need be.
-func (q *Quota) borrow(ctx context.Context, a policy.Account, holder ids.Address) bool {
+func (q *Quota) borrow(ctx context.Context, a policy.Account, holder ids.Address) (How, bool) {
 	b := q.question(a.ID, q.batch(a.ID), "")
 	if !q.reachable.Doubted(holder) {
 		lent, err := q.ask(ctx, holder, b, askTimeout)
 		if err == nil {
 			q.reachable.Answered(holder)
-			return q.take(a, lent)
+			return Asked, q.take(a, lent)
 		}
 		if ctx.Err() != nil {
-			return false
+			return Left, false
 		}
 		q.doubt(holder, err)
 		q.Common.Info(event.HolderSilent, zap.String("account", string(a.ID)), zap.String("holder", string(holder)), common.Cause(err))
@@ -62,10 +62,10 @@
 	if at, ok := q.neighbour(holder); ok {
 		if lent, err := q.ask(ctx, at, b, askTimeout); err == nil {
 			q.heard(holder)
-			return q.take(a, lent)
+			return Asked, q.take(a, lent)
 		}
 	}
-	return q.unanswered(a, holder)
+	return Alone, q.unanswered(a, holder)
 }
 
 // ask puts one question. An answer of a daemon that does not know the account is none.
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -2,7 +2,8 @@
 //
 // # Usage
 //
-//	wait, ok := q.Admit(ctx, account)
+//	d := q.Admit(ctx, account)
+//	if !d.Admitted { come back in d.Retry }
 //
 // One daemon holds the bucket of an account, chosen by highest random weight among
 // the daemons that can be reached. Others borrow from it, one request at a time while
@@ -115,20 +116,23 @@
 // Stop implements service.Service.
 func (q *Quota) Stop(context.Context) error { return nil }
 
-// Admit takes leave for one request. Otherwise it returns when to ask again.
-func (q *Quota) Admit(ctx context.Context, a policy.Account) (time.Duration, bool) {
+// Admit takes leave for one request.
+func (q *Quota) Admit(ctx context.Context, a policy.Account) Decision {
 	if a.Rate <= 0 {
-		return 0, true
+		return Decision{Admitted: true, How: Unlimited}
 	}
 	now := q.Common.Clock.Now()
-	holder := q.holder(a.ID)
-	if holder == q.roll.Own().Address {
-		return retryIn(a), q.lend(a, 1, now) > 0
+	d := Decision{Holder: q.holder(a.ID), Retry: retryIn(a)}
+	if d.Holder == q.roll.Own().Address {
+		d.How, d.Admitted = Held, q.lend(a, 1, now) > 0
+		return d
 	}
-	if decided, ok := q.stock(a, now); decided {
-		return retryIn(a), ok
+	if how, admitted := q.stock(a, now); how != "" {
+		d.How, d.Admitted = how, admitted
+		return d
 	}
-	return retryIn(a), q.borrow(ctx, a, holder)
+	d.How, d.Admitted = q.borrow(ctx, a, d.Holder)
+	return d
 }
 
 // retryIn returns when an account may have room for a request again.
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -116,8 +116,7 @@
 	q := open(t, holder, neighbour)
 	a := heldBy(t, q, holder)
 	for range 20 {
-		_, ok := q.Admit(t.Context(), a)
-		must.True(t, ok)
+		must.True(t, q.Admit(t.Context(), a).Admitted)
 		must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Holder: holder}, <-asked)
 	}
 	must.EqOp(t, holder, q.holder(a.ID))
@@ -131,7 +130,7 @@
 	began, admitted := time.Now(), 0
 	for q.holder(a.ID) == holder {
 		must.Less(t, 5*time.Second, time.Since(began))
-		if _, ok := q.Admit(t.Context(), a); ok {
+		if q.Admit(t.Context(), a).Admitted {
 			admitted++
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -140,6 +139,32 @@
 	must.LessEq(t, share+share*time.Since(began).Seconds()+1, float64(admitted))
 }
 
+// A decision tells what it went by.
+func TestDecision(t *testing.T) {
+	holder, _ := answering(t, link.Lent{Count: 2, Known: true})
+	gone := dead(t)
+	q := open(t, holder, gone)
+	own := q.roll.Own().Address
+	cases := []struct {
+		name  string
+		a     policy.Account
+		want  Decision
+		again How
+	}{
+		{name: "no rate", a: policy.Account{ID: "free"}, want: Decision{Admitted: true, How: Unlimited}, again: Unlimited},
+		{name: "held here", a: heldBy(t, q, own), want: Decision{Admitted: true, How: Held, Holder: own, Retry: 200 * time.Millisecond}, again: Held},
+		{name: "held there", a: heldBy(t, q, holder), want: Decision{Admitted: true, How: Asked, Holder: holder, Retry: 200 * time.Millisecond}, again: Stocked},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, q.Admit(t.Context(), c.a))
+			must.EqOp(t, c.again, q.Admit(t.Context(), c.a).How)
+		})
+	}
+	lone := open(t, gone)
+	must.EqOp(t, Alone, lone.Admit(t.Context(), heldBy(t, lone, gone)).How)
+}
+
 // The holder itself lends its bucket and no more.
 func TestLend(t *testing.T) {
 	q := open(t)
@@ -149,8 +174,7 @@
 	must.EqOp(t, 0, q.lend(a, 1, now))
 	must.EqOp(t, 10, q.lend(a, 100, now.Add(time.Minute)))
 	a.Rate = 0
-	_, ok := q.Admit(t.Context(), a)
-	must.True(t, ok)
+	must.True(t, q.Admit(t.Context(), a).Admitted)
 }
 
 // A holder that others have lost, although it reaches them, leaves the account to the one
@@ -167,8 +191,7 @@
 		must.False(t, time.Now().After(until))
 		time.Sleep(time.Millisecond)
 	}
-	_, ok := q.Admit(t.Context(), a)
-	must.True(t, ok)
+	must.True(t, q.Admit(t.Context(), a).Admitted)
 	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
 }
 
@@ -215,7 +238,7 @@
 	a := heldBy(t, q, holder)
 	check := link.Borrow{Account: a.ID, Check: true, Holder: holder}
 	must.False(t, q.Lend(t.Context(), check).Silent)
-	_, _ = q.Admit(t.Context(), a)
+	q.Admit(t.Context(), a)
 	must.True(t, q.Lend(t.Context(), check).Silent)
 }
 
@@ -241,8 +264,7 @@
 	a := heldBy(t, q, q.roll.Own().Address)
 	q.roll.Update(func(own *roll.Record) { own.Stopping = true })
 	must.EqOp(t, other, q.holder(a.ID))
-	_, ok := q.Admit(t.Context(), a)
-	must.True(t, ok)
+	must.True(t, q.Admit(t.Context(), a).Admitted)
 	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
 	// Others that don't know yet that it ends get the next holder's answer.
 	for _, b := range []link.Borrow{{Account: a.ID, Count: 2}, {Account: a.ID, Count: 2, Holder: q.roll.Own().Address}} {
@@ -299,7 +321,7 @@
 	a := heldBy(t, q, holder)
 	must.EqOp(t, 0, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 1}).Count)
 	<-asked
-	_, _ = q.Admit(t.Context(), a)
+	q.Admit(t.Context(), a)
 	must.False(t, q.reachable.Doubted(holder))
 	must.True(t, q.Lend(t.Context(), link.Borrow{Check: true}).Known)
 }
--- a/internal/mesh/router/attempts.go
+++ b/internal/mesh/router/attempts.go
@@ -15,6 +15,7 @@
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/policy"
+	"balsamwharf.example/balsamwharf/internal/mesh/quota"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
 	"balsamwharf.example/balsamwharf/internal/mesh/roll"
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -42,6 +43,7 @@
 	version ids.Version
 	route   policy.Route
 	account policy.Account
+	quota   quota.Decision
 	service ids.Service
 	order   request.Order
 	// parentRepeat is how likely a repeat made this request.
--- a/internal/mesh/router/router.go
+++ b/internal/mesh/router/router.go
@@ -140,11 +140,11 @@
 	if j.account.ID == "" {
 		return nil
 	}
-	wait, ok := r.quota.Admit(ctx, j.account)
-	if ok {
+	j.quota = r.quota.Admit(ctx, j.account)
+	if j.quota.Admitted {
 		return nil
 	}
-	return verdict.New(verdict.Unrun, http.StatusTooManyRequests, "the client account is over its rate").After(wait)
+	return verdict.New(verdict.Unrun, http.StatusTooManyRequests, "the client account is over its rate").After(j.quota.Retry)
 }
 
 func orderOf(j *journey, caller ids.Service) request.Order {
