One bucket while daemons see two successors of a holder

Now it passes such a question on once, loans that a yielding daemon asked for don't count as standing in, which kept it yielding for ever, and what gathers in a holder's bucket while it yields is not lent again.

TestInsteadPassedOn, TestStandsIn and TestAfterYield fail without these (run so).

--- a/internal/mesh/link/message.go
+++ b/internal/mesh/link/message.go
@@ -62,9 +62,10 @@
 	// Check asks only whether the receiver stands in for the sender, which holds the account,
 	// or can't reach it.
 	Check bool `cbor:"4,keyasint,omitempty"`
-	// Instead is set by the holder itself while it can't lend: the receiver lends, also if
-	// it takes the sender for the holder.
-	Instead bool `cbor:"5,keyasint,omitempty"`
+	// Instead is set by a holder that does not lend itself, as it ends or others stand in for
+	// it: the receiver lends, also if it takes the sender for the holder. It counts the
+	// daemons that passed the question on in this way.
+	Instead int `cbor:"5,keyasint,omitempty"`
 }
 
 // Lent answers a Borrow.
--- a/internal/mesh/quota/borrow.go
+++ b/internal/mesh/quota/borrow.go
@@ -58,7 +58,7 @@
 		q.doubt(holder, err)
 		q.Common.Info(event.HolderSilent, zap.String("account", string(a.ID)), zap.String("holder", string(holder)), common.Cause(err))
 	}
-	b.Holder, b.Instead = holder, false
+	b.Holder, b.Instead = holder, 0
 	if at, ok := q.neighbour(holder); ok {
 		if lent, err := q.ask(ctx, at, b, askTimeout); err == nil {
 			q.heard(holder)
--- a/internal/mesh/quota/check.go
+++ b/internal/mesh/quota/check.go
@@ -44,13 +44,26 @@
 	}
 }
 
+// noteStood notes that this daemon lent. It may have done so in the place of the account's
+// holder, which then learns of it when it asks; one that asked for it knows.
+func (q *Quota) noteStood(id ids.Account, now units.Instant) {
+	if q.first(id, anyone) == q.roll.Own().Address {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if h, ok := q.held[id]; ok {
+		h.stood = now
+	}
+}
+
 // standsIn reports whether this daemon lent lately in the place of the account's holder.
 func (q *Quota) standsIn(id ids.Account) bool {
 	now := q.Common.Clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	h, ok := q.held[id]
-	return ok && h.standing && now.Sub(h.lent) < idleTime
+	return ok && h.stood > 0 && now.Sub(h.stood) < idleTime
 }
 
 // isSilent reports whether a daemon gave no answer lately by any way.
--- a/internal/mesh/quota/lending.go
+++ b/internal/mesh/quota/lending.go
@@ -25,8 +25,8 @@
 type account struct {
 	bucket bucket.Bucket
 	lent   units.Instant
-	// standing is set while this daemon lends in the place of the holder.
-	standing bool
+	// stood is when this daemon last lent in the place of a holder that it takes for lost.
+	stood units.Instant
 	// asked is when another daemon last borrowed.
 	asked units.Instant
 	// checked is when the daemon that would stand in was last asked whether it does.
@@ -56,7 +56,12 @@
 	if !ok {
 		return link.Lent{}
 	}
-	return link.Lent{Count: q.lend(a, b.Count, q.Common.Clock.Now()), Known: true}
+	now := q.Common.Clock.Now()
+	lent := link.Lent{Count: q.lend(a, b.Count, now), Known: true}
+	if b.Instead == 0 {
+		q.noteStood(a.ID, now)
+	}
+	return lent
 }
 
 // pass asks the holder for another daemon; it is false when this one has to lend.
@@ -66,10 +71,15 @@
 	if holder == "" || (holder == own && q.leaves(b.Account)) {
 		holder = q.holder(b.Account)
 	}
-	if b.Instead || holder == own {
+	instead := b.Instead > 0
+	if holder == own || (instead && (b.Instead > 1 || !q.leaves(b.Account))) {
 		return link.Lent{}, false
 	}
-	lent, err := q.ask(ctx, holder, q.question(b.Account, b.Count, holder), passTimeout)
+	question := q.question(b.Account, b.Count, holder)
+	if instead {
+		question = link.Borrow{Account: b.Account, Count: b.Count, Instead: b.Instead + 1}
+	}
+	lent, err := q.ask(ctx, holder, question, passTimeout)
 	if err == nil {
 		return lent, true
 	}
@@ -104,7 +114,12 @@
 	if standsIn && now.Sub(h.lent) > idleTime {
 		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(share*float64(a.Burst))))
 	}
-	h.lent, h.standing = now, standsIn
+	if h.yieldUntil > 0 && !now.Before(h.yieldUntil) {
+		// Another daemon lent meanwhile.
+		h.yieldUntil = 0
+		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(againShare*float64(a.Burst))))
+	}
+	h.lent = now
 	if !standsIn && h.checkDue(now) {
 		h.checked = now
 		go q.check(a.ID)
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -125,6 +125,7 @@
 	d := Decision{Holder: q.holder(a.ID), Retry: retryIn(a)}
 	if d.Holder == q.roll.Own().Address {
 		d.How, d.Admitted = Held, q.lend(a, 1, now) > 0
+		q.noteStood(a.ID, now)
 		return d
 	}
 	if how, admitted := q.stock(a, now); how != "" {
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -192,7 +192,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	must.True(t, q.Admit(t.Context(), a).Admitted)
-	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: 1}, <-asked)
 }
 
 // A holder that others can't reach lends only its own part until they have another one.
@@ -265,11 +265,11 @@
 	q.roll.Update(func(own *roll.Record) { own.Stopping = true })
 	must.EqOp(t, other, q.holder(a.ID))
 	must.True(t, q.Admit(t.Context(), a).Admitted)
-	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: true}, <-asked)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 1, Instead: 1}, <-asked)
 	// Others that don't know yet that it ends get the next holder's answer.
 	for _, b := range []link.Borrow{{Account: a.ID, Count: 2}, {Account: a.ID, Count: 2, Holder: q.roll.Own().Address}} {
 		must.EqOp(t, 1, q.Lend(t.Context(), b).Count)
-		must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 2, Instead: true}, <-asked)
+		must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 2, Instead: 1}, <-asked)
 	}
 }
 
@@ -278,14 +278,63 @@
 	holder, asked := answering(t, link.Lent{Known: true})
 	q := open(t, holder)
 	a := heldBy(t, q, holder)
-	q.config.Read = func([]byte) (*policy.Policy, error) {
+	q.config.Read = reads(a)
+	q.config.Offer([]byte("any"), "test")
+	must.EqOp(t, 2, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 2, Instead: 1}).Count)
+	must.SliceEmpty(t, drained(asked))
+}
+
+// A daemon that yields passes a question on that it got from one that ends, but not for ever,
+// and does not count as standing in for the one that asked.
+func TestInsteadPassedOn(t *testing.T) {
+	next, asked := answering(t, link.Lent{Count: 1, Known: true})
+	q := open(t, next)
+	a := heldBy(t, q, q.roll.Own().Address)
+	q.config.Read = reads(a)
+	q.config.Offer([]byte("any"), "test")
+	now := q.Common.Clock.Now()
+	q.lend(a, 1, now)
+	<-asked
+	q.held[a.ID].yieldUntil = now.Add(time.Minute)
+	must.EqOp(t, 1, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 2, Instead: 1}).Count)
+	must.Eq[link.Message](t, link.Borrow{Account: a.ID, Count: 2, Instead: 2}, <-asked)
+	must.EqOp(t, 2, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 2, Instead: 2}).Count)
+	must.SliceEmpty(t, drained(asked))
+}
+
+// What gathered in a holder's bucket while another one lent is not lent again.
+func TestAfterYield(t *testing.T) {
+	q := open(t)
+	a := policy.Account{ID: "school", Rate: 10, Burst: 20 * units.Token}
+	now := q.Common.Clock.Now()
+	q.lend(a, 100, now)
+	q.held[a.ID].yieldUntil = now.Add(yieldTime)
+	must.EqOp(t, 5, q.lend(a, 100, now.Add(yieldTime)))
+	must.EqOp(t, 10, q.lend(a, 100, now.Add(yieldTime+time.Second)))
+}
+
+// A daemon that lent for one that yields does not count as standing in, and one that lent
+// because it takes the holder for lost does.
+func TestStandsIn(t *testing.T) {
+	holder := dead(t)
+	q := open(t, holder)
+	a := heldBy(t, q, holder)
+	q.config.Read = reads(a)
+	q.config.Offer([]byte("any"), "test")
+	check := link.Borrow{Account: a.ID, Check: true}
+	q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 1, Instead: 1})
+	must.False(t, q.Lend(t.Context(), check).StandsIn)
+	q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 1})
+	must.True(t, q.Lend(t.Context(), check).StandsIn)
+}
+
+// reads gives a configuration with one account.
+func reads(a policy.Account) func([]byte) (*policy.Policy, error) {
+	return func([]byte) (*policy.Policy, error) {
 		b := policy.Builder{Version: 1}
 		b.Account(a, nil)
 		return b.Policy(), nil
 	}
-	q.config.Offer([]byte("any"), "test")
-	must.EqOp(t, 2, q.Lend(t.Context(), link.Borrow{Account: a.ID, Count: 2, Instead: true}).Count)
-	must.SliceEmpty(t, drained(asked))
 }
 
 // drained returns what waits in a channel.
