--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 ARGS ?=
 
-.PHONY: all build demo bench test format lint names clocks generate unit race red soak model fuzz
+.PHONY: all build demo bench test format lint names clocks generate unit race red soak faults model fuzz
 
 all: build
 
@@ -67,6 +67,11 @@
 soak:
 	$(GO) test ./internal/soak -run TestSoakLong -v -count 1 -timeout 0 -seed $(SEED) -hours $(HOURS)
 
+# Runs daemons as processes on the platform's stand-ins under random faults.
+SECONDS ?= 6
+faults:
+	$(GO) test ./platform/faults -run '^(TestFaults|TestLimitUnderFaults)$$/^seed_$(SEED)$$' -v -count 1 -timeout 0 -seed $(SEED) -span $(SECONDS)s $(ARGS)
+
 # Checks the model of the core protocol; brings spin where it is missing.
 model:
 	@$(call bring,spin,spin)
--- a/internal/mesh/quota/holder.go
+++ b/internal/mesh/quota/holder.go
@@ -13,8 +13,8 @@
 // part of the limits. One that does not come back by then has been lost.
 const aloneTime = 20 * time.Second
 
-// unreadPart is the part of a limit that a daemon lends before it has read who else there
-// is. The users' deployments have 27 daemons and more; a few may start at once.
+// unreadPart is the part of a limit that a daemon lends before it has heard who else there
+// is, from the store or from another daemon. The users' deployments have 27 daemons and more; a few may start at once.
 const unreadPart = 0.1
 
 // holder returns the address of the daemon that holds the account. A daemon that ends
@@ -93,7 +93,7 @@
 
 // part returns the part of an account's limit that this daemon may lend.
 func (q *Quota) part(id ids.Account, now units.Instant) float64 {
-	if !q.roll.Loaded() {
+	if !q.roll.Loaded() && len(q.roll.All()) == 1 {
 		return unreadPart
 	}
 	q.mu.Lock()
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -256,6 +256,15 @@
 	must.EqOp(t, 1.0, q.part(a.ID, now))
 }
 
+// A daemon that heard of the fleet from another one lends the whole limit, however long the
+// store is away.
+func TestListFromOthers(t *testing.T) {
+	store := &keyedstub.Stub{}
+	store.SetAway(true)
+	q := openWith(t, store, "127.0.0.1:2")
+	must.EqOp(t, 1.0, q.part("school", q.Common.Clock.Now()))
+}
+
 // A daemon that ends leaves its accounts to others at once: they may have learned already
 // that it ends, and both would lend the whole limit.
 func TestStoppingHolder(t *testing.T) {
