--- a/internal/mesh/quota/holder.go
+++ b/internal/mesh/quota/holder.go
@@ -14,7 +14,8 @@
 const aloneTime = 20 * time.Second
 
 // unreadPart is the part of a limit that a daemon lends before it has heard who else there
-// is, from the store or from another daemon. The users' deployments have 27 daemons and more; a few may start at once.
+// is, from the store or from another daemon. The users' deployments have 27 daemons and
+// more; a few may start at once.
 const unreadPart = 0.1
 
 // holder returns the address of the daemon that holds the account. A daemon that ends
