--- a/internal/mesh/quota/lending.go
+++ b/internal/mesh/quota/lending.go
@@ -93,7 +93,6 @@
 // lend takes up to count requests from the account's bucket.
 func (q *Quota) lend(a policy.Account, count int, now units.Instant) int {
 	part := q.part(a.ID, now)
-	rate := units.Rate(float64(a.Rate) * part)
 	standsIn := q.first(a.ID, anyone) != q.roll.Own().Address
 	_, again := q.roll.Before()
 	share := primeShare
@@ -102,22 +101,13 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	h, ok := q.held[a.ID]
-	if !ok {
-		h = &account{bucket: bucket.Bucket{Rate: rate, Burst: a.Burst}}
-		h.bucket.Prime(now, max(units.Tokens(min(share, part)*float64(a.Burst)), units.Token))
-		q.held[a.ID] = h
-	}
-	if h.bucket.Rate != rate || h.bucket.Burst != a.Burst {
-		h.bucket.Resize(now, rate, a.Burst)
-	}
+	h := q.account(a, part, min(share, part), now)
 	if standsIn && now.Sub(h.lent) > idleTime {
-		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(share*float64(a.Burst))))
+		h.forfeit(now, share)
 	}
 	if h.yieldUntil > 0 && !now.Before(h.yieldUntil) {
-		// Another daemon lent meanwhile.
 		h.yieldUntil = 0
-		h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(againShare*float64(a.Burst))))
+		h.forfeit(now, againShare)
 	}
 	h.lent = now
 	if !standsIn && h.checkDue(now) {
@@ -130,3 +120,25 @@
 	}
 	return n
 }
+
+// account returns what this daemon keeps of an account, with the part of its limits that it
+// may lend now. A new bucket begins with a share of the burst. The caller holds the lock.
+func (q *Quota) account(a policy.Account, part, share float64, now units.Instant) *account {
+	rate := units.Rate(float64(a.Rate) * part)
+	h, ok := q.held[a.ID]
+	if !ok {
+		h = &account{bucket: bucket.Bucket{Rate: rate, Burst: a.Burst}}
+		h.bucket.Prime(now, max(units.Tokens(share*float64(a.Burst)), units.Token))
+		q.held[a.ID] = h
+	}
+	if h.bucket.Rate != rate || h.bucket.Burst != a.Burst {
+		h.bucket.Resize(now, rate, a.Burst)
+	}
+	return h
+}
+
+// forfeit leaves at most a share of the burst of what gathered in the bucket while another
+// daemon lent.
+func (h *account) forfeit(now units.Instant, share float64) {
+	h.bucket.Prime(now, min(h.bucket.Balance(now), units.Tokens(share*float64(h.bucket.Burst))))
+}
