burn: a service beyond the bound does not end the daemon

Cause: Record used the window of the service without a check, and windowOf returns nil beyond 4,096 services. Ids of services come from settings, so others could reach the bound. Services are also dropped once they had no request in the longest window, as accounts and targets are.

Before: TestManyServices panics. After: it passes.

--- a/internal/burn/burn.go
+++ b/internal/burn/burn.go
@@ -68,7 +68,8 @@
 func (t *Tracker) Stop(context.Context) error { return nil }
 
 // Record counts one request. Accounts and targets are tracked from their first bad
-// request on, since only bad requests spend the error budget.
+// request on, since only bad requests spend the error budget. Requests of a service beyond
+// maxTracked are not counted for the service.
 func (t *Tracker) Record(e Event) {
 	now := t.Common.Clock.Now()
 	t.mu.Lock()
@@ -78,7 +79,9 @@
 		t.accounts = map[accountKey]*window.Window{}
 		t.targets = map[targetKey]*window.Window{}
 	}
-	windowOf(t.services, e.Service, true).Add(now, e.Good)
+	if w := windowOf(t.services, e.Service, true); w != nil {
+		w.Add(now, e.Good)
+	}
 	if w := windowOf(t.accounts, accountKey{e.Service, e.Account}, !e.Good); w != nil {
 		w.Add(now, e.Good)
 	}
@@ -128,8 +131,8 @@
 	Counts  []window.Count `cbor:"3,keyasint"`
 }
 
-// Tally returns this daemon's counts and evicts the accounts and targets without a bad
-// request in the longest window.
+// Tally returns this daemon's counts. It evicts the services without a request, and the
+// accounts and targets without a bad one, in the longest window.
 func (t *Tracker) Tally() Tally {
 	now := t.Common.Clock.Now()
 	t.mu.Lock()
@@ -143,7 +146,12 @@
 		return list
 	}
 	for id, w := range t.services {
-		tally.Services = append(tally.Services, ServiceCount{Service: id, Counts: counts(w), Series: w.Series(now)})
+		c := counts(w)
+		if longest := c[len(c)-1]; longest.Good+longest.Bad == 0 {
+			delete(t.services, id)
+			continue
+		}
+		tally.Services = append(tally.Services, ServiceCount{Service: id, Counts: c, Series: w.Series(now)})
 	}
 	for k, w := range t.accounts {
 		c := counts(w)
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -1,7 +1,10 @@
 package burn_test
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -47,3 +50,19 @@
 		})
 	}
 }
+
+// Services come from settings that others write: more of them than are tracked must not end
+// the daemon, and services that are gone make room for new ones.
+func TestManyServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := &burn.Tracker{Common: common.Discard()}
+		for i := range 5000 {
+			tracker.Record(burn.Event{Service: ids.Service(fmt.Sprint("a/old-", i)), Account: "a/school", Target: "pay-1"})
+		}
+		must.LessEq(t, 5000, len(tracker.Tally().Services))
+		time.Sleep(burn.Windows[len(burn.Windows)-1] + time.Hour)
+		must.SliceEmpty(t, tracker.Tally().Services)
+		tracker.Record(burn.Event{Service: "a/new", Account: "a/school", Target: "pay-1"})
+		must.SliceLen(t, 1, tracker.Tally().Services)
+	})
+}
