Odd entries of other writers are skipped, and nothing else

Causes: a registration was taken under the key of another daemon, with ports out of range, and with an incarnation or revision that can't be exceeded: then the daemon that it names could never be listed again (its own next number overflowed).

--- a/internal/mesh/registry/merge.go
+++ b/internal/mesh/registry/merge.go
@@ -18,7 +18,7 @@
 		r.removeLocal(ids.Address(k.Key))
 		return
 	}
-	r.Merge(k.Value)
+	r.merge(k.Key, k.Value)
 }
 
 // removeLocal removes a daemon that another daemon has removed from the store. If it is this
@@ -59,8 +59,10 @@
 
 // Merge adds an encoded registration from the store or from another daemon, unless a newer
 // one is known.
-func (r *Registry) Merge(raw []byte) {
-	reg, err := decode(raw)
+func (r *Registry) Merge(raw []byte) { r.merge("", raw) }
+
+func (r *Registry) merge(key string, raw []byte) {
+	reg, err := decode(key, raw)
 	if err != nil {
 		r.Common.Warn(event.PeerRecordInvalid, common.Cause(err))
 		return
--- a/internal/mesh/registry/registration.go
+++ b/internal/mesh/registry/registration.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"strconv"
+	"strings"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 
@@ -63,13 +66,59 @@
 	return keyed.Record{Key: string(r.Address), Value: raw}, nil
 }
 
-func decode(raw []byte) (Registration, error) {
+// Limits of what a registration may hold. Others can write to the store too, and one odd
+// registration must neither hide a daemon nor fill the log.
+const (
+	// maxRecordBytes is several times the size of the longest registration.
+	maxRecordBytes = 4 << 10
+	maxNameBytes   = 255
+	maxSlots       = 1 << 16
+	// maxOrder bounds Incarnation and Revision, which are incremented from what was read.
+	maxOrder = 1 << 48
+)
+
+// decode decodes the registration that the store or another daemon holds under the key. The
+// key may be empty if it is not known.
+func decode(key string, raw []byte) (Registration, error) {
 	var r Registration
+	if len(raw) > maxRecordBytes {
+		return r, errorx.IllegalFormat.New("registration has %d bytes", len(raw))
+	}
 	if err := cbor.Unmarshal(raw, &r); err != nil {
 		return r, errorx.Decorate(err, "decode registration")
 	}
-	if r.Address == "" || r.Daemon == "" {
-		return r, errorx.IllegalFormat.New("registration lacks the daemon's name or address")
+	if key != "" && key != string(r.Address) {
+		return r, errorx.IllegalFormat.New("registration of another daemon under the key %.64q", key)
+	}
+	return r, r.check()
+}
+
+// check returns an error for the first field that no daemon would write, or nil.
+func (r Registration) check() error {
+	for _, name := range []string{string(r.Daemon), string(r.Address), string(r.Centre), string(r.Service), string(r.Target)} {
+		if len(name) > maxNameBytes {
+			return errorx.IllegalFormat.New("registration has a name of %d bytes", len(name))
+		}
+	}
+	switch {
+	case r.Daemon == "":
+		return errorx.IllegalFormat.New("registration lacks the daemon's name")
+	case !validAddress(r.Address):
+		return errorx.IllegalFormat.New("registration has the address %q", r.Address)
+	case r.Slots < 0 || r.Slots > maxSlots:
+		return errorx.IllegalFormat.New("registration has %d slots", r.Slots)
+	case r.Incarnation > maxOrder || r.Revision > maxOrder:
+		return errorx.IllegalFormat.New("registration has incarnation %d and revision %d", r.Incarnation, r.Revision)
+	}
+	return nil
+}
+
+// validAddress reports whether the address is a host and a port from 1 to 65535.
+func validAddress(a ids.Address) bool {
+	colon := strings.LastIndexByte(string(a), ':')
+	if colon <= 0 {
+		return false
 	}
-	return r, nil
+	port, err := strconv.ParseUint(string(a[colon+1:]), 10, 16)
+	return err == nil && port > 0
 }
