Answers without end, and late ones without an id, end as what they are

Causes: an answer was read up to 64 MB and what was read then counted as whole, so a body without end reached the caller as a success, and 200 of them took more memory than a machine has. Answers to other requests were skipped without limit until the deadline. A refusal without an id was taken as the answer to whatever request used the connection, so a late one made the daemon say that a request had not run which had.

Change: the new section [answers] bounds one answer and all that are read at the same time; an answer beyond is no answer (502, or another target). Answers whose head shows that they are not usable are not read. Few and short answers to others are skipped. On a connection that was used before, an answer must name its request.

Ruled out: endless status lines, fields, interim answers, chunk sizes, chunk extensions and trailers, which net/http and the limit of the head bound.

Before: 5 of 17 cases of TestAnswersWithoutEnd, TestMemoryOfAnswersWithoutEnd and 3 of 18 cases of TestLateBytes fail. After: all pass; FuzzAnswers ran 40 s (290,729 plays) without a finding.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -31,6 +31,13 @@
 // before it.
 const maxHeaderBytes = 1 << 20
 
+// Answers that Match rejects are skipped, in all at most maxSkipped before an answer and
+// maxSkippedBytes of each body: a backend server may send them without end.
+const (
+	maxSkipped      = 4
+	maxSkippedBytes = 1 << 20
+)
+
 // ErrClosed means that the connection ended before an answer, or can't take a request:
 // it is closed, in use or not reusable.
 var ErrClosed = errorx.ExternalError.New("the backend server closed the connection")
@@ -141,7 +148,7 @@
 // readAnswer reads the head of the final answer. It skips interim answers, and answers
 // that Match rejects.
 func (c *Conn) readAnswer(req *http.Request) (*http.Response, error) {
-	for {
+	for skipped := 0; skipped <= maxSkipped; {
 		answer, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errorx.Decorate(err, "read answer")
@@ -156,14 +163,20 @@
 		if c.Match == nil || c.Match(answer) {
 			return answer, nil
 		}
-		if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxSkippedBytes))
+		if err != nil {
 			return nil, errorx.Decorate(err, "read an answer to another request")
 		}
+		if n == maxSkippedBytes {
+			return nil, errorx.IllegalFormat.New("backend server sent a long answer to another request")
+		}
 		if answer.Close {
 			return nil, errorx.IllegalFormat.New("backend server answered another request and closed")
 		}
 		c.headerLimit.N = maxHeaderBytes
+		skipped++
 	}
+	return nil, errorx.IllegalFormat.New("backend server sent %d answers to other requests", maxSkipped+1)
 }
 
 func (c *Conn) currentExchange() *exchange {
--- a/internal/mesh/appclient/appclient.go
+++ b/internal/mesh/appclient/appclient.go
@@ -3,24 +3,29 @@
 //
 // # Usage
 //
-//	c := appclient.Client{Address: address, Dialect: dialect}
+//	c := appclient.Client{Address: address, Dialect: dialect, Clock: clock, Limits: settings.Answers}
 //	switch o := c.Call(ctx, appclient.Call{Request: outbound, Target: target}).(type) { ... }
 //
-// It never sends a request twice. An answer is accepted only when it is complete and
-// belongs to the request that was sent.
+// It never sends a request twice. An answer is accepted only when it is complete, belongs to
+// the request that was sent and is not longer than the limits.
 package appclient
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"balsamwharf.example/balsamwharf/internal/backend"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mesh/allowance"
 	"balsamwharf.example/balsamwharf/internal/mesh/outcome"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
+	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/internal/timer"
 	"balsamwharf.example/balsamwharf/internal/units"
 )
@@ -30,9 +35,12 @@
 	// Request returns the HTTP request for a call. It names the target, so that another
 	// backend server at the same address refuses it.
 	Request(c Call) (*http.Request, error)
-	// Matches reports whether the answer belongs to the request.
+	// Matches reports whether the answer may belong to the request.
 	Matches(o request.Outbound, r *http.Response) bool
-	// Outcome returns the outcome that a complete answer stands for.
+	// Identifies reports whether the answer names the request that it belongs to.
+	Identifies(r *http.Response) bool
+	// Outcome returns the outcome that a complete answer stands for. Without a body, it is
+	// Broken if the head alone shows that the answer is not usable.
 	Outcome(r *http.Response, body []byte) outcome.Outcome
 }
 
@@ -58,8 +66,8 @@
 	maxIdleConns = 16
 	// dialTimeout is for connecting to a process on the same VM.
 	dialTimeout = 500 * time.Millisecond
-	// maxAnswerBytes bounds an answer, which is held in memory.
-	maxAnswerBytes = 64 << 20
+	// firstBuffer is the room for an answer at first, in bytes; it doubles as needed.
+	firstBuffer = 8 << 10
 )
 
 // Client holds the connections to one backend server. Its methods may be called from
@@ -68,9 +76,12 @@
 	Address ids.Address
 	Dialect Dialect
 	Clock   *timer.Timer
+	// Limits bounds the answers, which are held in memory until they are complete.
+	Limits settings.Answers
 
-	mu   sync.Mutex
-	idle []idleConn
+	reading allowance.Allowance
+	mu      sync.Mutex
+	idle    []idleConn
 }
 
 // idleConn is an idle connection.
@@ -85,7 +96,7 @@
 	if err != nil {
 		return outcome.Unrun{Detail: err.Error()}
 	}
-	conn, err := c.conn(ctx, call.Idempotent)
+	conn, reused, err := c.conn(ctx, call.Idempotent)
 	if err != nil {
 		return outcome.Broken{Detail: err.Error()}
 	}
@@ -94,7 +105,11 @@
 	if err != nil {
 		return outcome.Broken{Detail: err.Error(), Sent: sent}
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if broken := c.rejectHead(resp, reused); broken != nil {
+		_ = conn.Close()
+		return broken
+	}
+	answer, err := c.readBody(resp.Body)
 	if closeErr := resp.Body.Close(); err == nil {
 		err = closeErr
 	}
@@ -105,18 +120,64 @@
 	return c.Dialect.Outcome(resp, answer)
 }
 
-// conn returns the idle connection that was used last, or dials a new one.
-func (c *Client) conn(ctx context.Context, idempotent bool) (*backend.Conn, error) {
+// rejectHead returns the outcome if the head shows that the answer is not usable, or nil. On a
+// connection that was used before, an answer that names no request may be a late one to an
+// earlier request, so it can't be taken as this request's, least of all as a refusal.
+func (c *Client) rejectHead(r *http.Response, reused bool) outcome.Outcome {
+	if reused && !c.Dialect.Identifies(r) {
+		return outcome.Broken{Detail: "the answer on a reused connection names no request", Sent: true}
+	}
+	if broken, ok := c.Dialect.Outcome(r, nil).(outcome.Broken); ok {
+		return broken
+	}
+	return nil
+}
+
+// readBody reads a body to its end, or returns an error when it exceeds the limit of one answer
+// or there is no room for it beside those that are read at the same time.
+func (c *Client) readBody(body io.Reader) ([]byte, error) {
+	limits := c.Limits.OrDefault()
+	var taken units.Bytes
+	defer func() { c.reading.Return(taken) }()
+	var read []byte
+	for {
+		if len(read) == cap(read) {
+			grown := max(2*cap(read), firstBuffer)
+			more := units.Bytes(grown - cap(read))
+			if !c.reading.Take(more, units.Bytes(limits.Total)) {
+				return nil, errorx.RejectedOperation.New("the answers being read at once are longer than %d bytes", limits.Total)
+			}
+			taken += more
+			read = append(make([]byte, 0, grown), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if len(read) > limits.One {
+			return nil, errorx.RejectedOperation.New("the answer is longer than %d bytes", limits.One)
+		}
+		if errors.Is(err, io.EOF) {
+			return read, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// conn returns the idle connection that was used last, or dials a new one. It also reports
+// whether the connection was used before.
+func (c *Client) conn(ctx context.Context, idempotent bool) (*backend.Conn, bool, error) {
 	limit := maxIdle
 	if idempotent {
 		limit = maxIdleIdempotent
 	}
 	if conn, ok := c.popIdle(c.Clock.Now(), limit); ok {
-		return conn, nil
+		return conn, true, nil
 	}
 	ctx, cancel := c.Clock.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	return backend.Dial(ctx, c.Address)
+	conn, err := backend.Dial(ctx, c.Address)
+	return conn, false, err
 }
 
 // popIdle removes and returns the idle connection that was used last, unless it has been
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -94,7 +94,7 @@
 // Start implements service.Service.
 func (g *Gate) Start(_ context.Context, f service.Finder) error {
 	g.trackedCalls.Limit = maxTrackedCalls
-	g.client = &appclient.Client{Address: g.Common.Mesh.Target.Address, Dialect: g.Dialect, Clock: g.Common.Clock}
+	g.client = &appclient.Client{Address: g.Common.Mesh.Target.Address, Dialect: g.Dialect, Clock: g.Common.Clock, Limits: g.Common.Mesh.Answers}
 	return errors.Join(kernel.Bind(f, "registry", &g.registry), g.registerMetrics())
 }
 
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -60,6 +60,7 @@
 		{"target", "The backend server of this VM.", settings.Target{}},
 		{"store", "The platform's store.", settings.Store{}},
 		{"bounds", "What the platform's operators promise callers.", settings.Bounds{}},
+		{"answers", "Memory for the backend server's answers.", settings.Answers{}},
 		{"logging", "Logs.", settings.Logging{}},
 	}
 }
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -18,6 +18,7 @@
 	Target   Target
 	Store    Store
 	Bounds   Bounds
+	Answers  Answers
 	Logging  Logging
 }
 
@@ -107,6 +108,30 @@
 	return nil
 }
 
+// Answers is the section [answers]: what the answers of the backend server may take in memory,
+// where they are held until they are complete.
+type Answers struct {
+	One   int `ini:"one" default:"8388608" unit:"bytes" doc:"Longest body of an answer. A longer one counts as no answer: the caller gets 502, or the answer of another target."`
+	Total int `ini:"total" default:"33554432" unit:"bytes" doc:"Memory for all answers that are being read at the same time."`
+}
+
+// OrDefault returns the section, or the defaults if it is zero.
+func (a Answers) OrDefault() Answers {
+	if a == (Answers{}) {
+		// The defaults are constants that decode.
+		_ = decode(&a, nil)
+	}
+	return a
+}
+
+// Check returns an error for the first invalid value, or nil.
+func (a Answers) Check() error {
+	if a.One < 1 || a.Total < a.One {
+		return fmt.Errorf("one is %d and total is %d, but one must be above 0 and total not below one", a.One, a.Total)
+	}
+	return nil
+}
+
 // LoadMesh parses and checks the settings file of a daemon on a platform. It returns
 // an Error with the line for each invalid section, which reports the section's first fault.
 func LoadMesh(file string, text []byte) (Mesh, error) {
@@ -121,6 +146,7 @@
 		"target":   &m.Target,
 		"store":    &m.Store,
 		"bounds":   &m.Bounds,
+		"answers":  &m.Answers,
 		"logging":  &m.Logging,
 	})
 }
