--- a/internal/mesh/feed/feed.go
+++ b/internal/mesh/feed/feed.go
@@ -254,7 +254,7 @@
 	if !t.follower.Loaded() || (len(members) <= 1 && now.Sub(f.startedAt) < coldTime) {
 		return
 	}
-	shared := readers.Shared(len(members))
+	shared := t.election.Shares(len(members))
 	reads := t.election.Reads(f.Common.Mesh.Sockets.AdvertisedAddress(), members, now)
 	switch {
 	case !shared && now.Sub(f.startedAt) >= settleTime:
--- a/internal/mesh/readers/readers_test.go
+++ b/internal/mesh/readers/readers_test.go
@@ -118,3 +118,17 @@
 	e.Claim("10.9.9.8:70", 0)
 	must.True(t, e.Reads("10.0.0.1:70", nil, 0))
 }
+
+// Daemons that restart one after the other in a data centre at the limit don't change whether
+// the others share.
+func TestRestartsAtTheLimit(t *testing.T) {
+	var e readers.Election
+	must.False(t, e.Shares(15))
+	for range 5 {
+		must.True(t, e.Shares(16))
+		must.True(t, e.Shares(15))
+	}
+	must.True(t, e.Shares(12))
+	must.False(t, e.Shares(11))
+	must.False(t, e.Shares(15))
+}
