readers: claims last longer in large data centres, where load reports are rarer

Cause: reports come 4 ms apart for each member, so in a data centre of 154 daemons a claim of 1.2 s would end with a single lost report, and in one of 300 with none. Found by reading; the tests had used reports of small data centres.

Change: a claim lasts 10 ms for each member, and 1.2 s at least. An answer's buffer no longer grows beyond the limit of one answer.

Ruled out: a change at the sizes of the users' sites (46 to 47 members).

--- a/internal/mesh/appclient/appclient.go
+++ b/internal/mesh/appclient/appclient.go
@@ -142,7 +142,7 @@
 	var read []byte
 	for {
 		if len(read) == cap(read) {
-			grown := max(2*cap(read), firstBuffer)
+			grown := min(max(2*cap(read), firstBuffer), limits.One+1)
 			more := units.Bytes(grown - cap(read))
 			if !c.reading.Take(more, units.Bytes(limits.Total)) {
 				return nil, errorx.RejectedOperation.New("the answers being read at once are longer than %d bytes", limits.Total)
--- a/internal/mesh/feed/feed.go
+++ b/internal/mesh/feed/feed.go
@@ -8,9 +8,9 @@
 //	f.Observe(from, topics)  // with each report that arrives
 //	answer := f.HandleFetch(m)
 //
-// The progress says how far a daemon has read each topic, and whether it reads the store itself. Who
-// learns from one that another daemon is ahead fetches the records from there. Package readers
-// decides who reads. Bytes within a data centre cost next to nothing; calls to the store do.
+// The progress says how far a daemon has read each topic, and whether it reads the store itself.
+// Who learns that another daemon is ahead fetches the records from there. Package readers decides
+// who reads. Bytes within a data centre cost next to nothing; calls to the store do.
 package feed
 
 import (
--- a/internal/mesh/readers/readers.go
+++ b/internal/mesh/readers/readers.go
@@ -32,8 +32,11 @@
 	// left, since daemons restart all the time.
 	shareFrom  = 16
 	shareUntil = 12
-	// ClaimTTL is how long a claim counts: two reports may get lost.
-	ClaimTTL = 1200 * time.Millisecond
+	// minClaimTTL is how long a claim counts at least, and ttlPerMember bounds it in large data
+	// centres, where load reports are rarer: 4 ms apart for each member. One or two reports may
+	// get lost.
+	minClaimTTL  = 1200 * time.Millisecond
+	ttlPerMember = 10 * time.Millisecond
 	// step and maxPatience separate the daemons that could replace a reader.
 	step        = 50 * time.Millisecond
 	maxPatience = time.Second
@@ -41,6 +44,11 @@
 	rankKey = "readers"
 )
 
+// ClaimTTL returns how long a claim counts in a data centre of so many daemons.
+func ClaimTTL(members int) time.Duration {
+	return max(minClaimTTL, time.Duration(members)*ttlPerMember)
+}
+
 // Election holds the claims of the other daemons of a data centre. The zero value works. It
 // doesn't lock; its owner does.
 type Election struct {
@@ -80,7 +88,8 @@
 		e.startedAt, e.started = now, true
 	}
 	higher := higherThan(own, members)
-	if e.claimed(higher, now) >= wanted {
+	ttl := ClaimTTL(len(members))
+	if e.claimed(higher, now, ttl) >= wanted {
 		e.missing = false
 		return false
 	}
@@ -91,15 +100,15 @@
 		return true
 	}
 	patience := min(time.Duration(len(higher))*step, maxPatience)
-	return now.Sub(e.missingSince) >= patience && now.Sub(e.startedAt) >= ClaimTTL+patience
+	return now.Sub(e.missingSince) >= patience && now.Sub(e.startedAt) >= ttl+patience
 }
 
 // claimed returns how many of the daemons claim to read, and drops expired claims.
-func (e *Election) claimed(daemons []ids.Address, now units.Instant) int {
+func (e *Election) claimed(daemons []ids.Address, now units.Instant, ttl time.Duration) int {
 	n := 0
 	for a, at := range e.claims {
 		switch {
-		case now.Sub(at) >= ClaimTTL:
+		case now.Sub(at) >= ttl:
 			delete(e.claims, a)
 		case slices.Contains(daemons, a):
 			n++
