--- a/internal/mesh/quota/spending.go
+++ b/internal/mesh/quota/spending.go
@@ -18,6 +18,8 @@
 	// startAllowance is how long before the first loan of a leader others may have used their
 	// fallback shares because the account had no leader. What they spent then is not charged.
 	startAllowance = failoverAfter
+	// maxReported bounds what one report may charge, in requests.
+	maxReported = 1 << 20
 	// maxDebt is the time in which the rate pays back the largest debt of an account.
 	maxDebt = 2 * time.Second
 )
@@ -26,7 +28,7 @@
 type spending struct {
 	// leader is the quota leader that did not answer.
 	leader ids.Address
-	// total counts all admissions while leader led, and told is the total that it knows.
+	// total counts all admissions, and told is the part of it that leader knows or need not know.
 	total, told int
 }
 
@@ -77,7 +79,7 @@
 		last = 0
 	}
 	c.totals[from] = total
-	n := total - last
+	n := min(total-last, maxReported)
 	if now.Sub(c.startedAt) < startAllowance {
 		return 0
 	}
--- a/internal/mesh/quota/spending_test.go
+++ b/internal/mesh/quota/spending_test.go
@@ -87,9 +87,9 @@
 	must.EqOp(t, 16, report(7, 3*time.Second))
 	must.EqOp(t, 20, report(7, 6*time.Second))
 	must.EqOp(t, 18, report(2, 9*time.Second))
-	must.EqOp(t, 0, report(1<<40, 12*time.Second))
-	must.EqOp(t, 0, report(1<<40, 13*time.Second))
-	must.EqOp(t, 10, report(1<<40, 15*time.Second), must.Sprint("no debt is larger than the rate pays back in 2 s"))
+	must.EqOp(t, 0, report(1<<62, 12*time.Second))
+	must.EqOp(t, 0, report(1<<62, 13*time.Second))
+	must.EqOp(t, 10, report(1<<62, 15*time.Second), must.Sprint("no debt is larger than the rate pays back in 2 s"))
 }
 
 // What a leader leaves to daemons that it can't reach is not charged once more.
