--- a/internal/mesh/feed/feed_test.go
+++ b/internal/mesh/feed/feed_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -66,14 +68,32 @@
 
 // fleet is a data centre of daemons in virtual time.
 type fleet struct {
-	store   *keyedstub.Stub
+	store *keyedstub.Stub
+
+	// mu guards the daemons, which start while others report.
+	mu      sync.Mutex
 	daemons map[ids.Address]*daemon
 	list    []*daemon
 }
 
+// all returns the daemons that have been started.
+func (f *fleet) all() []*daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.list)
+}
+
+// find returns the daemon at the address.
+func (f *fleet) find(a ids.Address) (*daemon, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, ok := f.daemons[a]
+	return d, ok
+}
+
 // Call delivers a message to another daemon.
 func (f *fleet) Call(_ context.Context, to ids.Address, m link.Message) (link.Message, error) {
-	d, ok := f.daemons[to]
+	d, ok := f.find(to)
 	fetch, isFetch := m.(link.Fetch)
 	if !ok || !isFetch || d.lost.Load() {
 		return nil, errLost
@@ -102,6 +122,8 @@
 	k.Add(&link.Link{})
 	k.Add(d.feed)
 	must.NoError(t, k.Start(ctx))
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.daemons[d.address] = d
 	f.list = append(f.list, d)
 	return d
@@ -113,20 +135,21 @@
 // report exchanges load reports until the context ends.
 func (f *fleet) report(ctx context.Context) {
 	for phase := 0; ctx.Err() == nil; phase++ {
-		time.Sleep(reportInterval(len(f.list)) / phases)
-		for i := phase % phases; i < len(f.list); i += phases {
-			f.reportOf(f.list[i])
+		time.Sleep(reportInterval(len(f.all())) / phases)
+		all := f.all()
+		for i := phase % phases; i < len(all); i += phases {
+			reportOf(all[i], all)
 		}
 	}
 }
 
 // reportOf delivers the load report of one daemon to all others.
-func (f *fleet) reportOf(from *daemon) {
+func reportOf(from *daemon, all []*daemon) {
 	if from.lost.Load() {
 		return
 	}
 	said := from.feed.Progress()
-	for _, to := range f.list {
+	for _, to := range all {
 		if from != to && !to.lost.Load() {
 			to.feed.Observe(from.address, said)
 		}
