--- a/review/stage/caller.go
+++ b/review/stage/caller.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -51,11 +53,13 @@
 	}
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
+		a.GaveUp = errors.Is(err, os.ErrDeadlineExceeded)
 		c.Close()
 		return a, kept
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
+		a.GaveUp = errors.Is(err, os.ErrDeadlineExceeded)
 		c.Close()
 		return a, kept
 	}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -277,6 +277,8 @@
 	Status    int
 	Signature string
 	Body      string
+	// GaveUp is set when the time of the caller was over before the answer.
+	GaveUp bool
 }
 
 // Log returns what the daemon has written since its last start.
