gate, router: evacuated data centres, a limit for cold targets, homes

Cause: nothing read the records evacuate/CENTRE, warmupPerS or allowedRegions.

Change: mesh/evacuation holds which data centres are evacuated; who picks a target leaves them out, and the gatekeepers there decline. mesh/warmup limits what a target gets in a second to what a cold one bears, unless a health check has just shown that it is warm. mesh/placement obeys homes. All of it is off without the records and fields.

--- a/internal/mesh/appclient/appclient.go
+++ b/internal/mesh/appclient/appclient.go
@@ -12,10 +12,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"balsamwharf.example/balsamwharf/internal/backend"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/body"
@@ -38,6 +42,18 @@
 	// Outcome returns the outcome that a complete answer stands for. Without a body, it is
 	// Broken if the head alone shows that the answer is not usable.
 	Outcome(r *http.Response, b body.Body) outcome.Outcome
+	// CheckRequest returns the HTTP request of a health check.
+	CheckRequest(path string, at ids.Address) *http.Request
+	// CheckResult returns what the answer to a health check says. It is false if the answer says
+	// nothing.
+	CheckResult(r *http.Response) (Check, bool)
+}
+
+// Check is what a backend server says of itself in a health check.
+type Check struct {
+	Target ids.Target
+	// WarmUp is how much longer it stays cold.
+	WarmUp time.Duration
 }
 
 // Call is one request for a target.
@@ -60,6 +76,8 @@
 	// maxIdleConns is how many idle connections are kept open; backend servers usually
 	// have fewer slots.
 	maxIdleConns = 16
+	// maxCheckBytes bounds the body of an answer to a health check.
+	maxCheckBytes = 64 << 10
 	// dialTimeout is for connecting to a process on the same VM.
 	dialTimeout = 500 * time.Millisecond
 )
@@ -113,6 +131,29 @@
 	return c.Dialect.Outcome(resp, answer)
 }
 
+// Check sends a health check and blocks until it is answered or the context ends.
+func (c *Client) Check(ctx context.Context, path string) (Check, error) {
+	conn, _, err := c.conn(ctx, true)
+	if err != nil {
+		return Check{}, err
+	}
+	conn.Match = func(r *http.Response) bool { return !c.Dialect.Identifies(r) }
+	resp, _, err := conn.Exchange(ctx, c.Dialect.CheckRequest(path, c.Address))
+	if err != nil {
+		return Check{}, err
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxCheckBytes))
+	if err = errors.Join(err, resp.Body.Close()); err != nil {
+		return Check{}, err
+	}
+	c.putIdle(conn)
+	check, ok := c.Dialect.CheckResult(resp)
+	if !ok {
+		return Check{}, errorx.IllegalFormat.New("the answer to the health check was %s", resp.Status)
+	}
+	return check, nil
+}
+
 // rejectHead returns the outcome if the head shows that the answer is not usable, or nil. On a
 // connection that was used before, an answer that names no request may be a late one to an
 // earlier request, so it can't be taken as this request's, least of all as a refusal.
--- a/internal/mesh/balancer/balancer.go
+++ b/internal/mesh/balancer/balancer.go
@@ -27,6 +27,8 @@
 	InFlight float64
 	// WarmUp is how much longer the target is slow after its start, or zero.
 	WarmUp time.Duration
+	// ColdFull is set when a cold target gets as many requests a second as it bears.
+	ColdFull bool
 	// BreakerOpen is set when the last load report has an open breaker.
 	BreakerOpen bool
 	// Probe is set when the breaker is open and may admit this request as a probe.
@@ -47,6 +49,9 @@
 	otherCentreCostPerKB = 0.25
 	// warmUpCost is for targets that just started: they take about twice as long.
 	warmUpCost = 0.7
+	// coldFullCost puts targets that bear no more requests at the moment behind any that is full,
+	// and before those with an open breaker.
+	coldFullCost = 10
 	// breakerOpenCost puts targets with an open breaker behind any that is merely full.
 	breakerOpenCost = 20
 	// probeBonus makes a request that may be a probe go to a target of this data centre
@@ -76,6 +81,9 @@
 	if c.WarmUp > 0 {
 		cost += warmUpCost
 	}
+	if c.ColdFull {
+		cost += coldFullCost
+	}
 	switch {
 	case c.Probe && c.SameCentre:
 		cost -= probeBonus
--- a/internal/mesh/config/config.go
+++ b/internal/mesh/config/config.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,16 +22,24 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/follow"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyed"
 	"balsamwharf.example/balsamwharf/internal/mesh/policy"
 	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/units"
+	"balsamwharf.example/balsamwharf/pkg/kernel"
 	"balsamwharf.example/balsamwharf/pkg/service"
 )
 
-// Key is the key of the configuration document in the topic keyed.Settings.
-const Key = "config"
+// Keys of the topic keyed.Settings.
+const (
+	// Key is that of the configuration document.
+	Key = "config"
+	// EvacuationPrefix is followed by the name of a data centre that is evacuated while there is a
+	// record of the key.
+	EvacuationPrefix = "evacuate/"
+)
 
 // Decoder decodes a configuration document.
 type Decoder func(document []byte) (*policy.Policy, error)
@@ -41,22 +50,26 @@
 	Store  keyed.Store
 	Read   Decoder
 
-	follower  follow.Follower
-	mu        sync.Mutex
-	document  []byte
-	policy    atomic.Pointer[policy.Policy]
-	appliedAt atomic.Int64
+	evacuation *evacuation.Table
+	follower   follow.Follower
+	mu         sync.Mutex
+	document   []byte
+	policy     atomic.Pointer[policy.Policy]
+	appliedAt  atomic.Int64
 }
 
 // Name implements service.Service.
 func (c *Config) Name() service.Name { return "config" }
 
 // Needs implements service.Service.
-func (c *Config) Needs() []service.Name { return []service.Name{"timer"} }
+func (c *Config) Needs() []service.Name { return []service.Name{"timer", "evacuation"} }
 
 // Start implements service.Service.
-func (c *Config) Start(ctx context.Context, _ service.Finder) error {
-	c.follower = follow.Follower{Common: c.Common, Store: c.Store, Topic: keyed.Settings, Apply: c.apply}
+func (c *Config) Start(ctx context.Context, f service.Finder) error {
+	if err := kernel.Bind(f, "evacuation", &c.evacuation); err != nil {
+		return err
+	}
+	c.follower = follow.Follower{Common: c.Common, Store: c.Store, Topic: keyed.Settings, Apply: c.apply, Listed: c.list}
 	go c.follower.Run(ctx)
 	return c.exportMetrics()
 }
@@ -109,12 +122,27 @@
 	return c.document
 }
 
-func (c *Config) apply(r keyed.Record, _ keyed.Position) {
+func (c *Config) apply(r keyed.Record, at keyed.Position) {
+	if centre, ok := strings.CutPrefix(r.Key, EvacuationPrefix); ok {
+		c.evacuation.Record(ids.Centre(centre), len(r.Value) > 0, at)
+		return
+	}
 	if r.Key == Key && len(r.Value) > 0 {
 		c.ApplyNewer(r.Value, "store")
 	}
 }
 
+// list applies which evacuations there are among all keys of the topic.
+func (c *Config) list(keys map[string]bool, at keyed.Position) {
+	var evacuated []ids.Centre
+	for key, present := range keys {
+		if centre, ok := strings.CutPrefix(key, EvacuationPrefix); ok && present {
+			evacuated = append(evacuated, ids.Centre(centre))
+		}
+	}
+	c.evacuation.List(evacuated, at)
+}
+
 // ApplyNewer decodes a configuration document and applies it if its version is newer. The
 // origin, from, is logged.
 func (c *Config) ApplyNewer(document []byte, from string) {
--- a/internal/mesh/feed/feed_test.go
+++ b/internal/mesh/feed/feed_test.go
@@ -16,6 +16,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/feed"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyed"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
@@ -152,6 +153,7 @@
 		b := policy.Builder{Version: ids.Version(raw[0])}
 		return b.Policy(), nil
 	}}
+	k.Add(&evacuation.Table{Common: c})
 	k.Add(d.config)
 	k.Add(&link.Link{})
 	k.Add(d.feed)
--- a/internal/mesh/follow/follow.go
+++ b/internal/mesh/follow/follow.go
@@ -70,7 +70,7 @@
 	MaxWait time.Duration
 	// Apply gets each record with the position after it.
 	Apply func(keyed.Record, keyed.Position)
-	// Listed, if it is set, gets all keys of the topic after the newest record of each was applied,
+	// Listed, if it is set, gets all keys of the topic before the newest record of each is applied,
 	// with the position after them. A key that is missing there has been deleted, or was written
 	// after the copy from which the store came back.
 	Listed func(keys map[string]bool, at keyed.Position)
@@ -323,11 +323,13 @@
 	keys := make(map[string]bool, len(page.Records))
 	for _, r := range page.Records {
 		keys[r.Key] = len(r.Value) > 0
-		f.Apply(r, at)
 	}
 	if f.Listed != nil {
 		f.Listed(keys, at)
 	}
+	for _, r := range page.Records {
+		f.Apply(r, at)
+	}
 	// A topic that ends before an offset at which records were read is another copy, also if the
 	// store doesn't count its eras.
 	if before.Before(at) || (before.Era == at.Era && at.Next < missing) {
--- a/internal/mesh/gate/announcement.go
+++ b/internal/mesh/gate/announcement.go
@@ -151,7 +151,7 @@
 		g.retries = g.newRetryLimiter()
 	}
 	g.target = a
-	g.warmUntil = g.Common.Clock.Now().Add(a.WarmUp)
+	g.learnWarmth(before, a)
 	g.slots = max(a.Slots, 1)
 	g.setState(a.State)
 	changed = before.Start() != a.Start() || before.State != a.State || before.Service != a.Service || before.Slots != a.Slots
--- a/internal/mesh/gate/gate.go
+++ b/internal/mesh/gate/gate.go
@@ -23,11 +23,14 @@
 	"balsamwharf.example/balsamwharf/internal/lru"
 	"balsamwharf.example/balsamwharf/internal/mesh/appclient"
 	"balsamwharf.example/balsamwharf/internal/mesh/breaker"
+	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/registry"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
 	"balsamwharf.example/balsamwharf/internal/mesh/retrylimiter"
 	"balsamwharf.example/balsamwharf/internal/mesh/starts"
+	"balsamwharf.example/balsamwharf/internal/mesh/warmup"
 	"balsamwharf.example/balsamwharf/internal/metric"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -56,8 +59,12 @@
 	Common  *common.Common
 	Dialect appclient.Dialect
 
-	registry *registry.Registry
-	client   *appclient.Client
+	config     *config.Config
+	evacuation *evacuation.Table
+	registry   *registry.Registry
+	client     *appclient.Client
+	// ctx ends with the daemon.
+	ctx context.Context
 
 	// publishing keeps registry updates in the order of the state changes. It is acquired
 	// before mu, never while mu is held.
@@ -67,6 +74,14 @@
 	target    Announcement
 	starts    starts.Order
 	warmUntil units.Instant
+	// warmth limits the requests to a target that may be cold, and probing is set while the target is
+	// asked whether it is.
+	warmth  warmup.Limiter
+	probing bool
+	// evacuated is set while the data centre is evacuated, and takenBackAt once it was taken back,
+	// until all slots are open again.
+	evacuated   bool
+	takenBackAt units.Instant
 	// deregistered holds targets that were deregistered before they were announced.
 	deregistered map[ids.Target]bool
 	slots        units.Slots
@@ -90,10 +105,19 @@
 func (g *Gate) Name() service.Name { return "gate" }
 
 // Needs implements service.Service.
-func (g *Gate) Needs() []service.Name { return []service.Name{"timer", "registry"} }
+func (g *Gate) Needs() []service.Name {
+	return []service.Name{"timer", "config", "evacuation", "registry"}
+}
 
 // Start implements service.Service.
-func (g *Gate) Start(_ context.Context, f service.Finder) error {
+func (g *Gate) Start(ctx context.Context, f service.Finder) error {
+	if err := errors.Join(kernel.Bind(f, "config", &g.config), kernel.Bind(f, "evacuation", &g.evacuation)); err != nil {
+		return err
+	}
+	g.ctx = ctx
+	g.warmth.KnownSince = g.Common.Clock.Now()
+	g.evacuation.Subscribe(g.evacuationChanged)
+	g.evacuationChanged()
 	g.trackedCalls.Limit = maxTrackedCalls
 	g.client = &appclient.Client{Address: g.Common.Mesh.Target.Address, Dialect: g.Dialect, Clock: g.Common.Clock, Limits: g.Common.Mesh.Answers}
 	return errors.Join(kernel.Bind(f, "registry", &g.registry), g.registerMetrics())
@@ -104,6 +128,7 @@
 	return errors.Join(
 		metric.InFlight.Follow(r, func() int64 { return int64(g.Load().Running) }),
 		metric.Queued.Follow(r, func() int64 { return int64(g.Load().Waiting) }),
+		metric.WarmUpTime.Follow(r, func() int64 { return g.Load().WarmUp.Milliseconds() }),
 		metric.RetryBudget.Follow(r, func() int64 { return int64(g.Load().RetriesLeft) }),
 		metric.BreakerOpen.Follow(r, func() int64 {
 			if g.Load().BreakerOpen {
@@ -129,7 +154,10 @@
 
 func (g *Gate) load() request.Load {
 	now := g.Common.Clock.Now()
-	l := request.Load{Running: g.running, Waiting: g.queue.Len(), Slots: g.slots, TypicalLatency: g.latency}
+	l := request.Load{Running: g.running, Waiting: g.queue.Len(), Slots: g.openSlots(now), TypicalLatency: g.latency}
+	if l.WarmUp = g.warmth.Cold(now); l.WarmUp > 0 {
+		l.ColdRoom = max(g.warmth.Room(now), 0)
+	}
 	l.RetriesLeft = max(int(g.retries.Remaining(now, g.gatekeeperCount())), 0)
 	if g.breaker.Open() {
 		l.BreakerOpen, l.ProbeIn = true, g.breaker.ProbeIn(now)
@@ -192,6 +220,13 @@
 		}
 		return nil, &link.Declined{Reason: link.ReasonRetryBudget, Load: g.load()}
 	}
+	if !g.admitCold(now) {
+		g.revertRetry(t, now)
+		if probe {
+			g.breaker.CancelProbe()
+		}
+		return nil, &link.Declined{Reason: link.ReasonCold, Load: g.load()}
+	}
 	w.slot = &Slot{gate: g, terms: t, target: g.target, probe: probe, queuedAt: now, deadline: now.Add(t.Remaining)}
 	if !g.queue.Push(w, queueFactor*int(g.slots)) {
 		g.revert(w.slot)
@@ -214,6 +249,8 @@
 		return link.ReasonNoTarget
 	case g.target.State != registry.Ready:
 		return link.ReasonLeaving
+	case g.evacuated:
+		return link.ReasonEvacuated
 	}
 	return ""
 }
@@ -235,7 +272,7 @@
 // caller holds the lock.
 func (g *Gate) wouldTimeOut(w *waiter) bool {
 	ahead := g.queue.Ahead(w)
-	wait := time.Duration(float64(ahead+1) / float64(g.slots) * float64(g.expectedLatency()))
+	wait := time.Duration(float64(ahead+1) / float64(g.openSlots(g.Common.Clock.Now())) * float64(g.expectedLatency()))
 	return wait > w.terms.MaxQueueTime
 }
 
@@ -250,7 +287,7 @@
 
 // startWaiting starts waiting requests while slots are free. The caller holds the lock.
 func (g *Gate) startWaiting() {
-	for g.running < int(g.slots) {
+	for g.running < int(g.openSlots(g.Common.Clock.Now())) {
 		w, ok := g.queue.Pop()
 		if !ok {
 			return
@@ -312,11 +349,18 @@
 }
 
 // revert undoes what was counted for a request that does not reach the target: a probe of
-// the breaker and a retry. The caller holds the lock.
+// the breaker, a retry, and a request to a target that may be cold. The caller holds the lock.
 func (g *Gate) revert(s *Slot) {
 	g.cancelProbe(s)
-	if s.terms.Retry {
-		g.retries.Refund(g.Common.Clock.Now())
+	g.revertRetry(s.terms, g.Common.Clock.Now())
+	if !s.sent {
+		g.warmth.Cancel()
+	}
+}
+
+func (g *Gate) revertRetry(t request.Terms, now units.Instant) {
+	if t.Retry {
+		g.retries.Refund(now)
 	}
 }
 
--- a/internal/mesh/gate/gate_test.go
+++ b/internal/mesh/gate/gate_test.go
@@ -11,9 +11,12 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/breaker"
+	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/outcome"
+	"balsamwharf.example/balsamwharf/internal/mesh/policy"
 	"balsamwharf.example/balsamwharf/internal/mesh/registry"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
 	"balsamwharf.example/balsamwharf/pkg/kernel"
@@ -23,13 +26,15 @@
 func withGate(t *testing.T, test func(t *testing.T, g *Gate)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := common.Discard()
-		c.Mesh.Sockets.Peers = "vm1:1"
+		c.Mesh.Sockets.Peers, c.Mesh.Identity.Centre = "vm1:1", "quito"
 		c.Mesh.Store.Timeout, c.Mesh.Store.Wait = time.Second, time.Second
 		c.Mesh.Bounds.BudgetWindow, c.Mesh.Bounds.BudgetExtra = 10*time.Second, 10
 		g := &Gate{Common: c}
 		var k kernel.Kernel
 		k.Add(c.Clock)
 		k.Add(&registry.Registry{Common: c, Store: &keyedstub.Stub{}})
+		k.Add(&evacuation.Table{Common: c})
+		k.Add(&config.Config{Common: c, Store: &keyedstub.Stub{}, Read: readPolicy})
 		k.Add(g)
 		must.NoError(t, k.Start(t.Context()))
 		defer func() { must.NoError(t, k.Stop(time.Second)) }()
@@ -38,6 +43,16 @@
 	})
 }
 
+// readPolicy reads a configuration that consists of its version alone. Targets of the service bear
+// 15 requests a second while they are cold, from version 2 on.
+func readPolicy(raw []byte) (*policy.Policy, error) {
+	b := policy.Builder{Version: ids.Version(raw[0])}
+	if b.Version >= 2 {
+		b.Service(policy.Service{ID: "quotes", ColdRate: 15, HealthPath: "/health"})
+	}
+	return b.Policy(), nil
+}
+
 func announcement(seq uint64, s registry.State) Announcement {
 	return Announcement{Target: "i-1", Service: "quotes", Address: "vm1:2", Slots: 2, State: s, StartedAt: 100, Seq: seq}
 }
@@ -357,6 +372,8 @@
 	var k kernel.Kernel
 	k.Add(c.Clock)
 	k.Add(&registry.Registry{Common: c, Store: &keyedstub.Stub{}})
+	k.Add(&evacuation.Table{Common: c})
+	k.Add(&config.Config{Common: c, Store: &keyedstub.Stub{}, Read: readPolicy})
 	k.Add(g)
 	must.NoError(t, k.Start(t.Context()))
 	defer func() { must.NoError(t, k.Stop(time.Second)) }()
--- a/internal/mesh/gate/slot.go
+++ b/internal/mesh/gate/slot.go
@@ -24,7 +24,9 @@
 	// deadline is when the sender stops waiting for the answer.
 	deadline units.Instant
 	probe    bool
-	done     bool
+	// sent is set once the request was counted as sent to a target that may be cold.
+	sent bool
+	done bool
 }
 
 // Release frees the slot without running the request. It may be called more than once.
@@ -69,6 +71,10 @@
 	if stale := s.stale(); stale != nil {
 		return stale
 	}
+	s.sent = true
+	if !g.warmth.Send(now) {
+		return outcome.Broken{Detail: "the target may be cold and bears no more requests now"}
+	}
 	check := g.Common.Invariant.Check
 	check(g.target.Service == s.terms.Service, "a request runs at a target of another service", zap.String("id", string(id)))
 	check(s.terms.Idempotent || !g.seenBefore(id), "a target got a request again that must not run twice", zap.String("id", string(id)))
@@ -125,6 +131,8 @@
 	switch {
 	case g.target.Start() != s.target.Start() || g.target.State != registry.Ready:
 		return outcome.Broken{Detail: "the target began to leave"}
+	case g.evacuated:
+		return outcome.Broken{Detail: "the data centre was evacuated"}
 	case g.breaker.Open() && !s.probe && !s.terms.IgnoreBreaker:
 		return outcome.Broken{Detail: "the target began to fail"}
 	}
--- a/internal/mesh/link/message.go
+++ b/internal/mesh/link/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyed"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -101,12 +102,16 @@
 	Version ids.Version `cbor:"1,keyasint,omitempty"`
 	// Record is the sender's own registration, which the store may not have yet.
 	Record []byte `cbor:"2,keyasint,omitempty"`
+	// Evacuations are what the sender knows of data centres that were ever evacuated.
+	Evacuations []evacuation.State `cbor:"3,keyasint,omitempty"`
 }
 
 // Pulled answers a Pull. Document is empty unless it is newer than the sender's.
 type Pulled struct {
 	Document []byte   `cbor:"1,keyasint,omitempty"`
 	Fleet    [][]byte `cbor:"2,keyasint,omitempty"`
+	// Evacuations are what the receiver knows.
+	Evacuations []evacuation.State `cbor:"3,keyasint,omitempty"`
 }
 
 // Fetch asks for the records of a topic of the store from an offset on. It is sent to a daemon
@@ -178,4 +183,8 @@
 	ReasonOverloaded Reason = "full"
 	// ReasonRetryBudget: the request is a retry, and the gatekeeper's retry budget is spent.
 	ReasonRetryBudget Reason = "spent"
+	// ReasonCold: the target may be cold, and gets as many requests a second as a cold one bears.
+	ReasonCold Reason = "cold"
+	// ReasonEvacuated: the data centre of the target is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 )
--- a/internal/mesh/loadreport/loadreport.go
+++ b/internal/mesh/loadreport/loadreport.go
@@ -134,7 +134,8 @@
 
 // sameLoad reports whether the loads are equal in everything that receivers use for decisions.
 func sameLoad(a, b request.Load) bool {
-	return a.Running == b.Running && a.Waiting == b.Waiting && a.Slots == b.Slots && a.BreakerOpen == b.BreakerOpen && (a.ProbeIn > 0) == (b.ProbeIn > 0)
+	return a.Running == b.Running && a.Waiting == b.Waiting && a.Slots == b.Slots && a.BreakerOpen == b.BreakerOpen && (a.ProbeIn > 0) == (b.ProbeIn > 0) &&
+		(a.WarmUp > 0) == (b.WarmUp > 0) && a.ColdRoom == b.ColdRoom
 }
 
 // pause returns the time until the next report.
--- a/internal/mesh/loadview/loadview.go
+++ b/internal/mesh/loadview/loadview.go
@@ -31,6 +31,8 @@
 	// breakerOpenTTL is how long a report of an open breaker counts when no periodic
 	// report is current; breakers stay open for seconds.
 	breakerOpenTTL = 3 * time.Second
+	// coldRoomTTL is the time in which the requests that a cold target bears are counted.
+	coldRoomTTL = time.Second
 	// noTargetTTL is how long a gatekeeper that had no target of the service is avoided.
 	noTargetTTL = 700 * time.Millisecond
 	// ReportTTL is how long a periodic load report counts as current.
@@ -67,6 +69,12 @@
 	Probe bool
 	// NoTarget is set when the gatekeeper lately had no target of the service.
 	NoTarget bool
+	// WarmUp is how much longer the target stays cold, and ColdRoom how many requests it bears now. It
+	// is negative when more were sent, and counts only while the report is not older than a second.
+	WarmUp   time.Duration
+	ColdRoom int
+	// Slots are the open slots of the last report, if they are fewer than those of the target.
+	Slots units.Slots
 	// Stale is set when a gatekeeper that sent periodic reports has stopped to send them.
 	Stale bool
 }
@@ -136,9 +144,18 @@
 	defer t.mu.Unlock()
 	e := t.get(a)
 	age := now.Sub(e.receivedAt)
+	warmUp := max(e.load.WarmUp-age, 0)
+	room := e.load.ColdRoom - e.sentSince
+	if age >= coldRoomTTL {
+		room = 1
+	}
+	if e.known && e.load.Slots > 0 && age < breakerOpenTTL {
+		slots = min(slots, e.load.Slots)
+	}
 	open := e.known && e.load.BreakerOpen && (age < breakerOpenTTL || e.fresh(now))
 	return View{
 		InFlight: e.inFlight(slots, now), RetriesLeft: e.load.RetriesLeft, BreakerOpen: open, Probe: open && age >= e.load.ProbeIn,
+		WarmUp: warmUp, ColdRoom: room, Slots: slots,
 		NoTarget: now.Before(e.noTargetUntil), Stale: e.reporting && !e.fresh(now),
 	}
 }
--- a/internal/mesh/peersync/peersync.go
+++ b/internal/mesh/peersync/peersync.go
@@ -1,4 +1,4 @@
-// Package peersync fetches the configuration and the fleet's registrations from other daemons
+// Package peersync fetches the configuration, evacuations and the fleet's registrations from other daemons
 // while this one can't read the platform's store, or when another daemon has a newer
 // configuration. A new process also asks when the store has come back from an older copy.
 //
@@ -15,6 +15,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/registry"
 	"balsamwharf.example/balsamwharf/internal/units"
@@ -44,23 +45,29 @@
 type Syncer struct {
 	Common *common.Common
 
-	config   *config.Config
-	registry *registry.Registry
-	link     *link.Link
-	hints    chan ids.Address
+	config     *config.Config
+	evacuation *evacuation.Table
+	registry   *registry.Registry
+	link       *link.Link
+	hints      chan ids.Address
 }
 
 // Name implements service.Service.
 func (s *Syncer) Name() service.Name { return "peersync" }
 
 // Needs implements service.Service.
-func (s *Syncer) Needs() []service.Name { return []service.Name{"config", "registry", "link"} }
+func (s *Syncer) Needs() []service.Name {
+	return []service.Name{"config", "evacuation", "registry", "link"}
+}
 
 // Start implements service.Service.
 func (s *Syncer) Start(ctx context.Context, f service.Finder) error {
 	if err := kernel.Bind(f, "config", &s.config); err != nil {
 		return err
 	}
+	if err := kernel.Bind(f, "evacuation", &s.evacuation); err != nil {
+		return err
+	}
 	if err := kernel.Bind(f, "registry", &s.registry); err != nil {
 		return err
 	}
@@ -94,7 +101,8 @@
 	if len(p.Record) > 0 {
 		s.registry.Merge(p.Record)
 	}
-	return link.Pulled{Document: s.config.Document(p.Version), Fleet: s.registry.Encoded()}
+	s.evacuation.Merge(p.Evacuations)
+	return link.Pulled{Evacuations: s.evacuation.States(), Document: s.config.Document(p.Version), Fleet: s.registry.Encoded()}
 }
 
 // pullAtStart asks others, once the store was read, if the store once came back from an older copy.
@@ -168,7 +176,7 @@
 func (s *Syncer) pull(ctx context.Context, at ids.Address) {
 	ctx, cancel := s.Common.Clock.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	answer, err := s.link.Call(ctx, at, link.Pull{Version: s.config.Version(), Record: s.registry.EncodedOwn()})
+	answer, err := s.link.Call(ctx, at, link.Pull{Version: s.config.Version(), Record: s.registry.EncodedOwn(), Evacuations: s.evacuation.States()})
 	if err != nil {
 		return
 	}
@@ -176,6 +184,7 @@
 	if !ok {
 		return
 	}
+	s.evacuation.Merge(pulled.Evacuations)
 	if len(pulled.Document) > 0 {
 		s.config.ApplyNewer(pulled.Document, string(at))
 	}
--- a/internal/mesh/policy/policy.go
+++ b/internal/mesh/policy/policy.go
@@ -46,6 +46,18 @@
 	Attempts int
 	// Public is set when requests need no key.
 	Public bool
+	// Homes holds the only regions in which requests may run; empty means any.
+	Homes []ids.Region
+}
+
+// Service defines how the targets of one service are treated.
+type Service struct {
+	ID ids.Service
+	// ColdRate is how many requests a second a target bears while it is cold; zero means that there
+	// is no limit.
+	ColdRate units.Rate
+	// HealthPath is the path of a target's health check.
+	HealthPath string
 }
 
 // Account is a client account with its limits.
@@ -58,6 +70,8 @@
 	// Rate is zero when the account has no limit.
 	Rate  units.Rate
 	Burst units.Tokens
+	// Homes holds the only regions in which requests may run; empty means any.
+	Homes []ids.Region
 }
 
 // Limits bounds the requests of callers.
@@ -77,6 +91,7 @@
 
 	table    routetable.Table
 	routes   map[ids.Route]Route
+	services map[ids.Service]Service
 	accounts map[ids.Account]Account
 	keys     map[ids.Hash]ids.Account
 }
@@ -99,6 +114,14 @@
 	b.policy.table.Put(r.ID, settings.Route{Host: r.Host, Prefix: r.Prefix})
 }
 
+// Service adds a service. Services that are not added have no limits.
+func (b *Builder) Service(s Service) {
+	if b.policy.services == nil {
+		b.policy.services = map[ids.Service]Service{}
+	}
+	b.policy.services[s.ID] = s
+}
+
 // Account adds a client account with the hashes of its keys.
 func (b *Builder) Account(a Account, keys []ids.Hash) {
 	if b.policy.accounts == nil {
@@ -151,5 +174,22 @@
 	return a, ok
 }
 
+// Service returns how the targets of the service are treated.
+func (p *Policy) Service(id ids.Service) Service { return p.services[id] }
+
+// Services returns the services that routes lead to.
+func (p *Policy) Services() []ids.Service {
+	seen, list := map[ids.Service]bool{}, []ids.Service(nil)
+	for _, r := range p.routes {
+		for _, c := range r.Clusters {
+			if !seen[c.Service] {
+				seen[c.Service] = true
+				list = append(list, c.Service)
+			}
+		}
+	}
+	return list
+}
+
 // Routes returns the number of routes.
 func (p *Policy) Routes() int { return len(p.routes) }
--- a/internal/mesh/quota/fleet_test.go
+++ b/internal/mesh/quota/fleet_test.go
@@ -17,6 +17,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyed"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
@@ -99,7 +100,7 @@
 	settings := &config.Config{Common: c, Store: f.store, Read: reads(f.account)}
 	var k kernel.Kernel
 	for _, s := range []service.Service{
-		c.Clock, &registry.Registry{Common: c, Store: f.store}, &link.Link{}, &reachable.Tracker{Common: c, Reach: n.reach}, n.quota, settings,
+		c.Clock, &evacuation.Table{Common: c}, &registry.Registry{Common: c, Store: f.store}, &link.Link{}, &reachable.Tracker{Common: c, Reach: n.reach}, n.quota, settings,
 	} {
 		k.Add(s)
 	}
--- a/internal/mesh/quota/quota_test.go
+++ b/internal/mesh/quota/quota_test.go
@@ -13,6 +13,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
 	"balsamwharf.example/balsamwharf/internal/mesh/policy"
@@ -43,7 +44,7 @@
 	r := &registry.Registry{Common: c, Store: store}
 	var k kernel.Kernel
 	for _, s := range []service.Service{
-		c.Clock, r, &link.Link{}, &reachable.Tracker{Common: c}, q,
+		c.Clock, &evacuation.Table{Common: c}, r, &link.Link{}, &reachable.Tracker{Common: c}, q,
 		&config.Config{Common: c, Store: store, Read: func([]byte) (*policy.Policy, error) { return nil, keyedstub.ErrUnavailable }},
 	} {
 		k.Add(s)
--- a/internal/mesh/registry/registration.go
+++ b/internal/mesh/registry/registration.go
@@ -45,6 +45,7 @@
 	// Incarnation and Revision order the registrations of one daemon.
 	Incarnation ids.Incarnation `cbor:"10,keyasint"`
 	Revision    uint64          `cbor:"11,keyasint"`
+	Region      ids.Region      `cbor:"12,keyasint,omitempty"`
 }
 
 // Newer reports whether r was written after other by the same daemon.
@@ -95,7 +96,7 @@
 
 // check returns an error for the first field that no daemon would write, or nil.
 func (r Registration) check() error {
-	for _, name := range []string{string(r.Daemon), string(r.Address), string(r.Centre), string(r.Service), string(r.Target)} {
+	for _, name := range []string{string(r.Daemon), string(r.Address), string(r.Centre), string(r.Service), string(r.Target), string(r.Region)} {
 		if len(name) > maxNameBytes {
 			return errorx.IllegalFormat.New("registration has a name of %d bytes", len(name))
 		}
--- a/internal/mesh/registry/registry.go
+++ b/internal/mesh/registry/registry.go
@@ -92,7 +92,7 @@
 	identity := r.Common.Mesh.Identity
 	r.wake = make(chan struct{}, 1)
 	r.registrations = map[ids.Address]Registration{}
-	r.own = Registration{Daemon: identity.Daemon, Address: r.Common.Mesh.Sockets.AdvertisedAddress(), Centre: identity.Centre, Incarnation: 1}
+	r.own = Registration{Daemon: identity.Daemon, Address: r.Common.Mesh.Sockets.AdvertisedAddress(), Centre: identity.Centre, Region: identity.Region, Incarnation: 1}
 	r.stored = make(chan struct{})
 	r.follow = follow.Follower{Common: r.Common, Store: r.Store, Topic: keyed.Fleet, BatchDelay: batchDelay, MaxWait: maxWait, Apply: r.apply, EraBegan: r.writeAgain}
 	go r.follow.Run(ctx)
--- a/internal/mesh/request/request.go
+++ b/internal/mesh/request/request.go
@@ -84,6 +84,10 @@
 	TypicalLatency time.Duration `cbor:"5,keyasint,omitempty"`
 	// RetriesLeft is how many retries the gatekeeper still admits.
 	RetriesLeft int `cbor:"7,keyasint,omitempty"`
+	// WarmUp is how much longer the target stays cold, if the configuration limits requests to cold
+	// targets, and ColdRoom how many of them it bears now.
+	WarmUp   time.Duration `cbor:"8,keyasint,omitempty"`
+	ColdRoom int           `cbor:"9,keyasint,omitempty"`
 }
 
 // Answer is a complete answer of a target.
--- a/internal/mesh/router/attempts.go
+++ b/internal/mesh/router/attempts.go
@@ -196,14 +196,14 @@
 	if x.sent >= max(x.route.Attempts, 1) {
 		return false
 	}
-	return x.failureAnswer == nil || x.breakerOpen || r.retriesLeft(x.service) >= minRetriesForOwnFailure
+	return x.failureAnswer == nil || x.breakerOpen || r.retriesLeft(x) >= minRetriesForOwnFailure
 }
 
-// retriesLeft returns how many retries the gatekeepers of a service still admit, by
+// retriesLeft returns how many retries the gatekeepers for a request still admit, by
 // their last load reports.
-func (r *Router) retriesLeft(s ids.Service) int {
+func (r *Router) retriesLeft(x *exchange) int {
 	now, left := r.Common.Clock.Now(), 0
-	for _, reg := range r.registry.Serving(s) {
+	for _, reg := range r.serving(x) {
 		if reg.Address == r.Common.Mesh.Sockets.AdvertisedAddress() {
 			left += r.gate.Load().RetriesLeft
 		} else {
@@ -217,7 +217,7 @@
 // false when there is none.
 func (r *Router) pickGatekeeper(x *exchange) (registry.Registration, bool) {
 	now := r.Common.Clock.Now()
-	registrations := r.registry.Serving(x.service)
+	registrations := r.serving(x)
 	list := make([]balancer.Candidate, len(registrations))
 	mayProbe := r.mayProbe(x)
 	for i, reg := range registrations {
@@ -234,7 +234,7 @@
 // mayProbe reports whether the request may be a probe of an open breaker: it must be
 // able to go to another target when the probe fails.
 func (r *Router) mayProbe(x *exchange) bool {
-	return x.route.Idempotent && x.sent == 0 && x.route.Attempts > 1 && r.retriesLeft(x.service) >= 1
+	return x.route.Idempotent && x.sent == 0 && x.route.Attempts > 1 && r.retriesLeft(x) >= 1
 }
 
 // candidate returns what the balancer needs to know about one target.
@@ -247,10 +247,13 @@
 	if c.Local {
 		load := r.gate.Load()
 		c.InFlight, c.BreakerOpen, c.WarmUp = float64(load.Running+load.Waiting), load.BreakerOpen, r.gate.WarmUp()
+		c.ColdFull = load.WarmUp > 0 && load.ColdRoom <= 0
+		c.Slots = min(c.Slots, max(load.Slots, 1))
 		c.Probe = load.BreakerOpen && load.ProbeIn == 0
 	} else {
 		view := r.loads.View(reg.Address, reg.Slots, now)
 		c.InFlight, c.BreakerOpen, c.Probe = view.InFlight, view.BreakerOpen, view.Probe
+		c.WarmUp, c.ColdFull, c.Slots = view.WarmUp, view.WarmUp > 0 && view.ColdRoom <= 0, view.Slots
 		// Gatekeepers of other data centres report only when their breaker opens or closes,
 		// so the lack of reports says nothing about them.
 		stale := c.SameCentre && view.Stale
@@ -263,7 +266,7 @@
 // to them again. It returns false when no further offer can succeed: a target received
 // the request, none serves the service, or open breakers were ignored already.
 func (r *Router) waitToReoffer(ctx context.Context, x *exchange) bool {
-	if x.sent > 0 || len(r.registry.Serving(x.service)) == 0 || x.ignoreBreaker {
+	if x.sent > 0 || len(r.serving(x)) == 0 || x.ignoreBreaker {
 		return false
 	}
 	waited := r.Common.Clock.Now().Sub(x.startedAt)
@@ -279,7 +282,7 @@
 // allowCentreAgain lets the request be offered again to the gatekeepers of this data
 // centre. Those of other data centres get one offer only, since traffic to them is priced.
 func (r *Router) allowCentreAgain(x *exchange) {
-	for _, reg := range r.registry.Serving(x.service) {
+	for _, reg := range r.serving(x) {
 		if reg.Centre == r.Common.Mesh.Identity.Centre {
 			delete(x.skipped, reg.Address)
 		}
--- a/internal/mesh/router/attempts_test.go
+++ b/internal/mesh/router/attempts_test.go
@@ -13,6 +13,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/invariant"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/keyedstub"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
@@ -37,7 +38,7 @@
 		k.Add(list)
 		must.NoError(t, k.Start(t.Context()))
 		defer func() { must.NoError(t, k.Stop(time.Second)) }()
-		test(t, &Router{Common: c, registry: list, loads: &loadview.Table{}, reachable: &reachable.Tracker{Common: c}})
+		test(t, &Router{Common: c, evacuation: &evacuation.Table{Common: c}, registry: list, loads: &loadview.Table{}, reachable: &reachable.Tracker{Common: c}})
 	})
 }
 
--- a/internal/mesh/router/router.go
+++ b/internal/mesh/router/router.go
@@ -21,6 +21,7 @@
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/gate"
 	"balsamwharf.example/balsamwharf/internal/mesh/loadview"
@@ -47,16 +48,17 @@
 type Router struct {
 	Common *common.Common
 
-	config    *config.Config
-	registry  *registry.Registry
-	gate      *gate.Gate
-	forward   *forward.Forward
-	quota     *quota.Quota
-	reachable *reachable.Tracker
-	loads     *loadview.Table
-	split     split.Split
-	size      size.Estimator
-	counts    *counts
+	config     *config.Config
+	evacuation *evacuation.Table
+	registry   *registry.Registry
+	gate       *gate.Gate
+	forward    *forward.Forward
+	quota      *quota.Quota
+	reachable  *reachable.Tracker
+	loads      *loadview.Table
+	split      split.Split
+	size       size.Estimator
+	counts     *counts
 	// newestVersion is the newest configuration version that a request was handled by.
 	newestVersion atomic.Uint64
 }
@@ -66,12 +68,16 @@
 
 // Needs implements service.Service.
 func (r *Router) Needs() []service.Name {
-	return []service.Name{"config", "registry", "gate", "forward", "quota", "reachable", "loadview"}
+	return []service.Name{"config", "evacuation", "registry", "gate", "forward", "quota", "reachable", "loadview"}
 }
 
 // Start implements service.Service.
 func (r *Router) Start(_ context.Context, f service.Finder) error {
 	r.counts = newCounts(r.Common.Metrics)
+	if err := kernel.Bind(f, "evacuation", &r.evacuation); err != nil {
+		return err
+	}
+	r.evacuation.Subscribe(r.logEvacuatedServices)
 	return errors.Join(
 		kernel.Bind(f, "config", &r.config),
 		kernel.Bind(f, "registry", &r.registry),
--- a/internal/meshd/daemon.go
+++ b/internal/meshd/daemon.go
@@ -17,6 +17,7 @@
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/linelog"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
+	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/feed"
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/gate"
@@ -134,6 +135,7 @@
 		c.Clock,
 		&metricsserver.Server{Common: c},
 		&memory.Memory{Common: c},
+		&evacuation.Table{Common: c},
 		&config.Config{Common: c, Store: client, Read: document.Read},
 		&registry.Registry{Common: c, Store: client},
 		&link.Link{},
