backend: what has no status of a final answer is no answer

Cause: a status below 200 other than 101 counted as one that precedes the answer, also 000 and 099, so whatever followed on the connection became the answer; 600 and 999 were passed on to callers.

Change: only 100 to 199 precede an answer, and only 200 to 599 are answers. Anything else ends the exchange as one without an answer, after which the request may have run. A daemon does not take such an answer from an older build either.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -153,11 +153,11 @@
 		if err != nil {
 			return nil, errorx.Decorate(err, "read answer")
 		}
-		if answer.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errorx.IllegalFormat.New("backend server switched protocols unasked")
-		}
-		if answer.StatusCode < http.StatusOK {
+		switch kindOf(answer.StatusCode) {
+		case interim:
 			continue
+		case invalid:
+			return nil, errorx.IllegalFormat.New("backend server answered with the status %03d", answer.StatusCode)
 		}
 		c.headerLimit.N = 1<<63 - 1
 		if c.Match == nil || c.Match(answer) {
@@ -179,6 +179,34 @@
 	return nil, errorx.IllegalFormat.New("backend server sent %d answers to other requests", maxSkipped+1)
 }
 
+// statusKind is what the status of an answer makes of it.
+type statusKind string
+
+const (
+	// final ends the exchange.
+	final statusKind = "final"
+	// interim precedes the answer.
+	interim statusKind = "interim"
+	// invalid is no status of an answer that HTTP defines, or one that was not asked for. What has it
+	// is no answer, and where it ends is not certain.
+	invalid statusKind = "invalid"
+)
+
+// kindOf returns the kind of a status.
+func kindOf(status int) statusKind {
+	switch {
+	case IsFinal(status):
+		return final
+	case status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols:
+		return interim
+	default:
+		return invalid
+	}
+}
+
+// IsFinal reports whether the status is one of a final answer.
+func IsFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
 func (c *Conn) currentExchange() *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -43,6 +43,11 @@
 		{name: "garbage", answer: "garbage\r\n\r\n", bad: true},
 		{name: "switches protocols", answer: "HTTP/1.1 101 Switching Protocols\r\n\r\n", bad: true},
 		{name: "no answer", bad: true},
+		{name: "an interim answer is the last word", answer: "HTTP/1.1 103 Early Hints\r\n\r\n", bad: true},
+		{name: "status 000", answer: "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", bad: true},
+		{name: "status 099", answer: "HTTP/1.1 099 Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", bad: true},
+		{name: "status 600", answer: "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok", bad: true},
+		{name: "status 999", answer: "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\nok", bad: true},
 		{name: "endless header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 2<<20), bad: true},
 		{name: "endless interim answers", answer: strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: "+strings.Repeat("x", 1000)+"\r\n\r\n", 2000), bad: true},
 	}
--- a/internal/mesh/forward/forward.go
+++ b/internal/mesh/forward/forward.go
@@ -16,6 +16,7 @@
 	"errors"
 	"time"
 
+	"balsamwharf.example/balsamwharf/internal/backend"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/mesh/body"
@@ -244,5 +245,9 @@
 func (f *Forward) answered(s *link.Session, to ids.Address, m link.Answered) Result {
 	s.Release()
 	f.syncer.ObserveVersion(m.Version, to)
+	if !backend.IsFinal(m.Answer.Status) {
+		// A daemon of an older build passes such answers on.
+		return Lost{Detail: "the answer has no status of a final answer", Load: m.Load}
+	}
 	return Answered{Answer: m.Answer, Load: m.Load, Failure: m.Failure}
 }
