admission: requests that find no room in a service wait in turn

Change: with the term pressure in the settings, such requests wait in a list of their service, by rank and account, with few turns at the same time. Who would wait too long is refused at once with a spread Retry-After. Requests that must run once don't insist on open breakers.

--- a/internal/event/mesh.go
+++ b/internal/event/mesh.go
@@ -23,6 +23,8 @@
 	TargetCold              = define(734, "cold", "The target is cold for as long as the line says, and bears a limited number of requests a second until then.")
 	BreakerOpened           = define(732, "opened", "The target's breaker opened after failures; only half-open probes reach the target.")
 	BreakerClosed           = define(733, "closed", "The half-open probes were served; the breaker closed and the target receives requests again.")
+	RoomShort               = define(736, "short", "A service is short of room: this daemon's requests for it wait for their turn, waiting of them.")
+	RoomReturned            = define(737, "room", "No request of this daemon waits for room in the service any more.")
 	RequestServed           = defineRequest(740, "answered", "A request was answered by a target.")
 	RequestEnded            = defineRequest(741, "ended", "A request ended without an answer of a target.")
 	AttemptFailed           = defineRequest(742, "attempt", "One attempt of a request failed or was refused by a gatekeeper.")
--- a/internal/mesh/forward/forward.go
+++ b/internal/mesh/forward/forward.go
@@ -114,10 +114,13 @@
 }
 
 func (f *Forward) local(ctx context.Context, t request.Terms, out request.Outbound) Result {
-	slot, declined := f.gate.Reserve(ctx, t, nil)
+	slot, declined := f.gate.Reserve(ctx, t, out.Accepted)
 	if declined != nil {
 		return Declined{Reason: declined.Reason, Load: declined.Load}
 	}
+	if out.Accepted != nil {
+		out.Accepted()
+	}
 	result, load := slot.Run(ctx, out)
 	switch r := result.(type) {
 	case outcome.Answered:
@@ -150,6 +153,9 @@
 	}
 	f.reachable.RecordAnswer(to)
 	if _, queued := first.(link.Queued); queued {
+		if out.Accepted != nil {
+			out.Accepted()
+		}
 		if first, err = s.Receive(); err != nil {
 			s.Close()
 			return Unrun{Detail: err.Error()}
@@ -160,6 +166,9 @@
 		s.Release()
 		return Declined{Reason: m.Reason, Load: m.Load}
 	case link.Granted:
+		if out.Accepted != nil {
+			out.Accepted()
+		}
 		return f.proceed(s, to, out, m.Parts)
 	default:
 		s.Close()
--- a/internal/mesh/gate/warmth.go
+++ b/internal/mesh/gate/warmth.go
@@ -108,7 +108,8 @@
 		g.declineWaiting(link.ReasonEvacuated)
 		return
 	}
-	g.takenBackAt = g.Common.Clock.Now()
+	// Zero stands for a data centre that was not taken back.
+	g.takenBackAt = max(g.Common.Clock.Now(), 1)
 	g.warmth.Doubt()
 }
 
--- a/internal/mesh/request/request.go
+++ b/internal/mesh/request/request.go
@@ -69,6 +69,9 @@
 	Body    body.Body   `cbor:"8,keyasint,omitzero"`
 	// Answers holds the memory of the answers at this daemon.
 	Answers *hold.Hold `cbor:"-"`
+	// Accepted, if it is set, is called when a gatekeeper has granted a slot or queued the request. It
+	// may be called more than once.
+	Accepted func() `cbor:"-"`
 }
 
 // Load is a gatekeeper's report on its target, which goes with every answer.
--- a/internal/mesh/router/attempts.go
+++ b/internal/mesh/router/attempts.go
@@ -11,6 +11,7 @@
 
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mesh/admission"
 	"balsamwharf.example/balsamwharf/internal/mesh/balancer"
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
 	"balsamwharf.example/balsamwharf/internal/mesh/link"
@@ -18,6 +19,7 @@
 	"balsamwharf.example/balsamwharf/internal/mesh/quota"
 	"balsamwharf.example/balsamwharf/internal/mesh/registry"
 	"balsamwharf.example/balsamwharf/internal/mesh/request"
+	"balsamwharf.example/balsamwharf/internal/mesh/waitlist"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
 )
@@ -70,6 +72,14 @@
 	lost bool
 	// ignoreBreaker is set when targets with an open breaker may get the request.
 	ignoreBreaker bool
+
+	// entry and turn are those of a request that waits in turn for room.
+	entry *waitlist.Entry
+	turn  *admission.Turn
+	// offers counts the gatekeepers to which the request was offered in this turn.
+	offers int
+	// noRoom is set when there is no room in time.
+	noRoom bool
 }
 
 // timeout returns the shorter one of the caller's and the route's time-out.
@@ -95,9 +105,16 @@
 // further attempt is allowed or the context ends. It blocks meanwhile.
 func (r *Router) tryTargets(ctx context.Context, x *exchange) (request.Answer, error) {
 	x.skipped, x.reached = map[ids.Address]bool{}, map[ids.Address]bool{}
+	defer x.endTurn(waitlist.Left)
+	if r.waitsForRoom(x) {
+		x.outbound.Accepted = func() { x.endTurn(waitlist.Granted) }
+		if r.admission.Short(x.service) && !r.awaitTurn(ctx, x) {
+			return r.giveUp(ctx, x)
+		}
+	}
 	for {
 		to, ok := r.pickGatekeeper(x)
-		if !ok {
+		if !ok || r.turnOver(x) {
 			if !r.waitToReoffer(ctx, x) {
 				return r.giveUp(ctx, x)
 			}
@@ -117,6 +134,7 @@
 // when the answer ends the exchange.
 func (r *Router) sendAttempt(ctx context.Context, x *exchange, to registry.Registration) (request.Answer, bool) {
 	x.lastTried = to
+	x.offers++
 	remaining, _ := r.Common.Clock.Remaining(ctx)
 	r.loads.CountRequest(to.Address)
 	waited := r.Common.Clock.Now().Sub(x.startedAt)
@@ -269,6 +287,9 @@
 	if x.sent > 0 || len(r.serving(x)) == 0 || x.ignoreBreaker {
 		return false
 	}
+	if r.waitsForRoom(x) {
+		return r.awaitTurn(ctx, x)
+	}
 	waited := r.Common.Clock.Now().Sub(x.startedAt)
 	if waited > time.Duration(breakerWaitShare*float64(x.objective())) {
 		x.ignoreBreaker = true
@@ -295,6 +316,9 @@
 	if x.failureAnswer != nil {
 		return *x.failureAnswer, nil
 	}
+	if x.noRoom {
+		return request.Answer{}, r.noRoomError(x)
+	}
 	canceled := errors.Is(ctx.Err(), context.Canceled)
 	switch {
 	case x.lost && canceled:
--- a/internal/mesh/router/router.go
+++ b/internal/mesh/router/router.go
@@ -20,6 +20,7 @@
 	"balsamwharf.example/balsamwharf/internal/bearer"
 	"balsamwharf.example/balsamwharf/internal/common"
 	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/mesh/admission"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
 	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/forward"
@@ -49,6 +50,7 @@
 	Common *common.Common
 
 	config     *config.Config
+	admission  *admission.Admission
 	evacuation *evacuation.Table
 	registry   *registry.Registry
 	gate       *gate.Gate
@@ -68,13 +70,13 @@
 
 // Needs implements service.Service.
 func (r *Router) Needs() []service.Name {
-	return []service.Name{"config", "evacuation", "registry", "gate", "forward", "quota", "reachable", "loadview"}
+	return []service.Name{"admission", "config", "evacuation", "registry", "gate", "forward", "quota", "reachable", "loadview"}
 }
 
 // Start implements service.Service.
 func (r *Router) Start(_ context.Context, f service.Finder) error {
 	r.counts = newCounts(r.Common.Metrics)
-	if err := kernel.Bind(f, "evacuation", &r.evacuation); err != nil {
+	if err := errors.Join(kernel.Bind(f, "admission", &r.admission), kernel.Bind(f, "evacuation", &r.evacuation)); err != nil {
 		return err
 	}
 	r.evacuation.Subscribe(r.logEvacuatedServices)
@@ -189,6 +191,10 @@
 	if x.route.Public {
 		return time.Duration(nestedShare * float64(remaining))
 	}
+	if x.entry != nil {
+		// It has waited in turn, and no longer than is of use.
+		return time.Duration(queueShare * float64(x.objective()))
+	}
 	return max(time.Duration(queueShare*float64(x.objective()))-waited, 0)
 }
 
--- a/internal/meshd/daemon.go
+++ b/internal/meshd/daemon.go
@@ -16,6 +16,7 @@
 	"balsamwharf.example/balsamwharf/internal/event"
 	"balsamwharf.example/balsamwharf/internal/invariant"
 	"balsamwharf.example/balsamwharf/internal/linelog"
+	"balsamwharf.example/balsamwharf/internal/mesh/admission"
 	"balsamwharf.example/balsamwharf/internal/mesh/config"
 	"balsamwharf.example/balsamwharf/internal/mesh/evacuation"
 	"balsamwharf.example/balsamwharf/internal/mesh/feed"
@@ -146,6 +147,7 @@
 		&peersync.Syncer{Common: c},
 		&feed.Feed{Common: c},
 		&loadreport.Reporter{Common: c},
+		&admission.Admission{Common: c},
 		&forward.Forward{Common: c},
 		&router.Router{Common: c},
 		&peerserver.Server{Common: c},
--- a/internal/metric/mesh.go
+++ b/internal/metric/mesh.go
@@ -17,6 +17,8 @@
 	CentresEvacuated   = define("evacuated", "centres", "Data centres that are evacuated, as far as this daemon knows.")
 	WarmUpTime         = define("cold", "milliseconds", "How much longer this VM's target stays cold, if the configuration limits requests to cold targets.")
 	ColdDeclined       = define("colddeclined", "requests", "Requests that went elsewhere because this VM's target may be cold and gets as many a second as a cold one bears.")
+	AdmissionWaiting   = define("roomwaiting", "requests", "Requests of this daemon's callers that wait for room in a service.")
+	AdmissionRejected  = define("roomrejected", "requests", "Requests refused at once because there would be no room in time.")
 	Version            = define("version", "number", "Version of the applied configuration.")
 	VersionAge         = define("age", "milliseconds", "Time since the current configuration was applied.")
 	StoreCalls         = define("calls", "calls", "Calls to the platform's store by kind and result.")
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -60,6 +60,8 @@
 		{"target", "The backend server of this VM.", settings.Target{}},
 		{"store", "The platform's store.", settings.Store{}},
 		{"bounds", "What the platform's operators promise callers.", settings.Bounds{}},
+		{"requests", "Memory for the bodies of requests.", settings.Requests{}},
+		{"admission", "Waiting for room in services that are short of it.", settings.Admission{}},
 		{"answers", "Memory for the backend server's answers.", settings.Answers{}},
 		{"logging", "Logs.", settings.Logging{}},
 	}
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"gopkg.in/ini.v1"
@@ -13,16 +15,30 @@
 // Mesh holds the settings file of a daemon that runs on a platform, which provides the
 // daemon's addresses and bounds. It has a field for each section.
 type Mesh struct {
-	Identity Identity
-	Sockets  Sockets
-	Target   Target
-	Store    Store
-	Bounds   Bounds
-	Requests Requests
-	Answers  Answers
-	Logging  Logging
+	Identity  Identity
+	Sockets   Sockets
+	Target    Target
+	Store     Store
+	Bounds    Bounds
+	Requests  Requests
+	Answers   Answers
+	Admission Admission
+	Logging   Logging
 }
 
+// Admission is the section [admission]: whether requests wait for room in a service that is short of it.
+type Admission struct {
+	Terms string `ini:"terms" default:"" unit:"list of words" doc:"The parts of the platform's terms that are in force, separated by commas. With the word pressure among them, requests that find no room wait in turn for as long as that is of use."`
+}
+
+// Enabled reports whether requests wait for room.
+func (a Admission) Enabled() bool {
+	return slices.Contains(strings.Split(a.Terms, ","), "pressure")
+}
+
+// Check implements checker. Words that this program doesn't know belong to other terms.
+func (a Admission) Check() error { return nil }
+
 // Sockets is the section [sockets]: where a daemon on a platform listens.
 type Sockets struct {
 	Callers  ids.Address `ini:"callers" default:"" unit:"IP:port" doc:"Address for callers and for the backend server's own calls."`
@@ -165,14 +181,15 @@
 		return m, err
 	}
 	return m, loadSections(file, text, parsed, map[string]any{
-		"identity": &m.Identity,
-		"sockets":  &m.Sockets,
-		"target":   &m.Target,
-		"store":    &m.Store,
-		"bounds":   &m.Bounds,
-		"requests": &m.Requests,
-		"answers":  &m.Answers,
-		"logging":  &m.Logging,
+		"identity":  &m.Identity,
+		"sockets":   &m.Sockets,
+		"target":    &m.Target,
+		"store":     &m.Store,
+		"bounds":    &m.Bounds,
+		"requests":  &m.Requests,
+		"answers":   &m.Answers,
+		"admission": &m.Admission,
+		"logging":   &m.Logging,
 	})
 }
 
