warmup: a new process sends a third of what a cold target bears in its first second

Cause: a new process didn't know what the one before had sent, and sent nothing for a second to targets that may be cold.

Change: a third of the rate is left to that second; with the whole rate of the process before it is below the 1.5 times that the platform tolerates. TestNewProcess plays both processes.

--- a/internal/mesh/warmup/warmup.go
+++ b/internal/mesh/warmup/warmup.go
@@ -33,6 +33,10 @@
 	// proofRefresh is how old an answer may be while requests come faster than a cold backend server
 	// bears.
 	proofRefresh = 250 * time.Millisecond
+	// unknownDivisor leaves a part of the rate to the first second of a process: together with the
+	// whole rate, which the one before may have sent, that is below the 1.5 times the rate that the
+	// platform tolerates.
+	unknownDivisor = 3
 	// maxRemembered bounds the memory for requests, and with it the rates that are limited.
 	maxRemembered = 4096
 )
@@ -138,10 +142,10 @@
 
 // free returns how many requests may be sent now.
 func (l *Limiter) free(now units.Instant) int {
+	n := cap(l.sent)
 	if now.Sub(l.KnownSince) < window {
-		return 0
+		n /= unknownDivisor
 	}
-	n := cap(l.sent)
 	for _, at := range l.sent {
 		if now.Sub(at) < window {
 			n--
--- a/internal/mesh/warmup/warmup_test.go
+++ b/internal/mesh/warmup/warmup_test.go
@@ -90,12 +90,32 @@
 	}
 }
 
-// A new process does not know what the one before sent, so it waits for a second unless the backend
-// server says that it is warm.
+// Load pattern: a daemon is killed and starts again while its backend server is cold and requests press.
+// Both processes together send no more in a second than the platform tolerates, without its slack. The
+// new one is not limited so much once the backend server says that it is warm.
 func TestNewProcess(t *testing.T) {
+	for rate := 1; rate <= 40; rate++ {
+		before, after := warmup.Limiter{}, warmup.Limiter{KnownSince: 10 * second}
+		before.SetRate(units.Rate(rate), 0)
+		after.SetRate(units.Rate(rate), 10*second)
+		var sent []units.Instant
+		for now := 9 * second; now < 12*second; now += second / 500 {
+			l := &before
+			if now >= 10*second {
+				l = &after
+			}
+			if l.Admit(now) && l.Send(now) {
+				sent = append(sent, now)
+			}
+		}
+		must.LessEq(t, rate*3/2, most(sent))
+	}
 	l := warmup.Limiter{KnownSince: 10 * second}
 	l.SetRate(15, 10*second+1)
 	l.Learn(0, 10*second+1)
+	for range 5 {
+		must.True(t, l.Admit(10*second+2))
+	}
 	must.False(t, l.Admit(10*second+2))
 	must.True(t, l.ProbeDue(10*second+2))
 	l.Prove(0, 10*second+2, 10*second+3)
