--- a/internal/balsam/apply.go
+++ b/internal/balsam/apply.go
@@ -7,7 +7,6 @@
 	"os"
 	"slices"
 
-	"balsamwharf.example/balsamwharf/internal/ids"
 	"balsamwharf.example/balsamwharf/internal/settings"
 	"balsamwharf.example/balsamwharf/pkg/api"
 )
@@ -139,22 +138,3 @@
 		}
 	}
 }
-
-// check validates a file locally, without contacting a daemon.
-type check struct {
-	session *session
-	inputFile
-}
-
-// Execute implements flags.Commander.
-func (c *check) Execute([]string) error {
-	list, err := c.load()
-	if err != nil {
-		return err
-	}
-	paths := []ids.Path{}
-	for _, n := range list {
-		paths = append(paths, n.Path)
-	}
-	return c.session.print(paths, func(w io.Writer) { fmt.Fprintf(w, "%d sections are valid\n", len(paths)) })
-}
--- a/internal/balsam/commands.go
+++ b/internal/balsam/commands.go
@@ -9,7 +9,7 @@
 	add(p, "remove", "Remove a section", &remove{session: s})
 	add(p, "apply", "Publish the sections of an INI file", &apply{session: s})
 	add(p, "diff", "Show what apply would change", &diff{session: s})
-	add(p, "check", "Check an INI file without a daemon", &check{session: s})
+	add(p, "check", "Check an INI file, or the configuration of a platform, without a daemon", &check{session: s})
 	add(p, "history", "List the edits that the log still keeps", &history{session: s})
 	add(p, "status", "Show a daemon's view of the fleet", &status{session: s})
 	add(p, "accounts", "List client accounts", &accounts{session: s})
