router: long bodies wait for room in their own data centre

Cause: a request that near gatekeepers declined went on to those of other data centres in the same turn, uploads of 60 KB included; bytes between data centres are Tbilisi's largest price.

Change: while requests wait in turn, a body of 16 KB or more stays in its data centre for half of the objective. TestLongBodiesStayNear fails without the change of the choice.

--- a/internal/mesh/router/attempts.go
+++ b/internal/mesh/router/attempts.go
@@ -237,9 +237,10 @@
 	now := r.Common.Clock.Now()
 	registrations := r.serving(x)
 	list := make([]balancer.Candidate, len(registrations))
-	mayProbe := r.mayProbe(x)
+	mayProbe, staysNear := r.mayProbe(x), r.staysNear(x, registrations, now)
 	for i, reg := range registrations {
 		list[i] = r.candidate(x, reg, now)
+		list[i].Tried = list[i].Tried || (staysNear && !list[i].SameCentre)
 		list[i].Probe = list[i].Probe && mayProbe
 	}
 	i := balancer.Pick(list, rand.Float64)
--- a/internal/mesh/router/room.go
+++ b/internal/mesh/router/room.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"balsamwharf.example/balsamwharf/internal/mesh/admission"
+	"balsamwharf.example/balsamwharf/internal/mesh/registry"
 	"balsamwharf.example/balsamwharf/internal/mesh/waitlist"
 	"balsamwharf.example/balsamwharf/internal/units"
 	"balsamwharf.example/balsamwharf/pkg/verdict"
@@ -19,6 +21,9 @@
 	// servingShare is the part of the objective that is left to the target when waiting ends at the
 	// deadline.
 	servingShare = 0.6
+	// longBody is from what length on a body stays in its data centre for nearShare of the objective.
+	longBody  units.Bytes = 16 << 10
+	nearShare             = 0.5
 	// maxOffers is to how many gatekeepers a request is offered in one turn, the cheapest ones by what
 	// is known. When these have no room, the others hardly have.
 	maxOffers = 8
@@ -54,6 +59,16 @@
 	return err == nil
 }
 
+// staysNear reports whether the request waits for a target of its own data centre before its body is
+// sent to another one: a long body takes the caller's link for long, and traffic between data centres is
+// priced by volume.
+func (r *Router) staysNear(x *exchange, list []registry.Registration, now units.Instant) bool {
+	if !r.waitsForRoom(x) || x.inbound.Body.Len() < longBody || now.Sub(x.startedAt) >= time.Duration(nearShare*float64(x.objective())) {
+		return false
+	}
+	return slices.ContainsFunc(list, func(reg registry.Registration) bool { return reg.Centre == r.Common.Mesh.Identity.Centre })
+}
+
 // onlyBreakers reports whether the breakers of all gatekeepers to which the request may go are open, as
 // far as is known.
 func (r *Router) onlyBreakers(x *exchange) bool {
