--- a/internal/mesh/evacuation/evacuation.go
+++ b/internal/mesh/evacuation/evacuation.go
@@ -106,7 +106,7 @@
 	return list
 }
 
-// Subscribe has f called after each change of the evacuated data centres.
+// Subscribe has f called after each change of the evacuated data centres, by the task that made it.
 func (t *Table) Subscribe(f func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/mesh/gate/warmth.go
+++ b/internal/mesh/gate/warmth.go
@@ -95,11 +95,12 @@
 	g.Common.Info(event.TargetCold, zap.String("target", string(g.target.Target)), zap.Duration("remaining", remaining))
 }
 
-// evacuationChanged is called when a data centre was evacuated or taken back.
+// evacuationChanged is called when a data centre was evacuated or taken back, possibly by several tasks
+// at once. It goes by what is known when it has the lock.
 func (g *Gate) evacuationChanged() {
-	evacuated := g.evacuation.Evacuated(g.Common.Mesh.Identity.Centre)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	evacuated := g.evacuation.Evacuated(g.Common.Mesh.Identity.Centre)
 	if evacuated == g.evacuated {
 		return
 	}
