--- a/internal/mesh/admission/admission_test.go
+++ b/internal/mesh/admission/admission_test.go
@@ -21,7 +21,7 @@
 func withAdmission(t *testing.T, test func(t *testing.T, a *admission.Admission, c *common.Common)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := common.Discard()
-		c.Mesh.Admission = settings.Admission{Terms: "base,pressure"}
+		c.Mesh.Admission = settings.Admission{Terms: "base,short", When: "short"}
 		a := &admission.Admission{Common: c}
 		var k kernel.Kernel
 		k.Add(c.Clock)
--- a/internal/mesh/router/room_test.go
+++ b/internal/mesh/router/room_test.go
@@ -31,7 +31,7 @@
 func TestLongBodiesStayNear(t *testing.T) {
 	withRouter(t, func(t *testing.T, r *Router) {
 		r.admission = &admission.Admission{Common: r.Common}
-		r.Common.Mesh.Admission = settings.Admission{Terms: "base,pressure"}
+		r.Common.Mesh.Admission = settings.Admission{Terms: "base,short", When: "short"}
 		addGatekeeper(t, r, "10.0.0.2:7", "valle")
 		long := func() *exchange {
 			x := newExchange()
--- a/internal/settings/mesh.go
+++ b/internal/settings/mesh.go
@@ -28,12 +28,13 @@
 
 // Admission is the section [admission]: whether requests wait for room in a service that is short of it.
 type Admission struct {
-	Terms string `ini:"terms" default:"" unit:"list of words" doc:"The parts of the platform's terms that are in force, separated by commas. With the word pressure among them, requests that find no room wait in turn for as long as that is of use."`
+	Terms string `ini:"terms" default:"" unit:"list of words" doc:"The parts of the platform's terms that are in force, separated by commas."`
+	When  string `ini:"when" default:"" unit:"word" doc:"The term with which requests that find no room wait in turn, for as long as that is of use. Without it they never do."`
 }
 
 // Enabled reports whether requests wait for room.
 func (a Admission) Enabled() bool {
-	return slices.Contains(strings.Split(a.Terms, ","), "pressure")
+	return a.When != "" && slices.Contains(strings.Split(a.Terms, ","), a.When)
 }
 
 // Check implements checker. Words that this program doesn't know belong to other terms.
