--- a/internal/mesh/gate/warmth_test.go
+++ b/internal/mesh/gate/warmth_test.go
@@ -87,7 +87,7 @@
 		g.evacuation.Record("quito", false, keyed.Position{Next: 2})
 		must.EqOp(t, units.Slots(1), g.Load().Slots)
 		must.EqOp(t, link.Reason(""), refusal(t, g))
-		time.Sleep(takeBackTime)
+		time.Sleep(takeBackTime + time.Millisecond)
 		must.EqOp(t, units.Slots(2), g.Load().Slots)
 		g.evacuation.Record("valle", true, keyed.Position{Next: 3})
 		must.EqOp(t, link.Reason(""), refusal(t, g))
--- a/internal/mesh/quota/check.go
+++ b/internal/mesh/quota/check.go
@@ -54,6 +54,10 @@
 	if h, ok := q.led[id]; ok {
 		h.lastBorrow, h.restrictedUntil, h.lentAlone = now, 0, 0
 	}
+	if q.unreached {
+		// They reach this daemon again, so the estimate is out of date.
+		q.unreached, q.lostUntil = false, 0
+	}
 }
 
 // recordLoan records a loan that this daemon made, possibly as standby of the account's leader.
@@ -229,6 +233,16 @@
 	return true
 }
 
+// recordUnreached records that a daemon which this one reaches had no answer from it.
+func (q *Quota) recordUnreached(unreached bool) {
+	if !unreached {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.unreached = true
+}
+
 // othersInReach returns the other daemons that are not suspected, in random order, and how many
 // are.
 func (q *Quota) othersInReach() ([]ids.Address, int) {
@@ -252,6 +266,7 @@
 func (q *Quota) probe(a ids.Address) bool {
 	lent, err := q.sendBorrow(q.ctx, a, link.Borrow{Check: true, Leader: q.registry.Own().Address}, borrowTimeout)
 	if err == nil {
+		q.recordUnreached(lent.NoAnswer)
 		return !lent.NoAnswer
 	}
 	if q.ctx.Err() != nil {
--- a/internal/mesh/quota/quota.go
+++ b/internal/mesh/quota/quota.go
@@ -82,6 +82,8 @@
 	// lost is how many daemons are out of reach by the last estimate, which holds until lostUntil.
 	lost      float64
 	lostUntil units.Instant
+	// unreached is set when a daemon that this one reaches had no answer from it, until one borrows.
+	unreached bool
 
 	ranking ranking
 }
