Review: a case for a refusal that is not true

One of eight targets fails a part of the unsafe requests that it runs with 503 and without the header that says it did not run them. The daemons hand the 503 on, so callers are told that the request has not run.

The stand-ins and the case for answers that are read slowly come with this commit, since both are one program.

--- /dev/null
+++ b/review/stage2/server.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeatPause   = 1500 * time.Millisecond
+	heartbeatTimeout = time.Second
+	// slots is how many requests a backend server runs at once.
+	slots = 4
+	// workTime is how long a request takes.
+	workTime = 40 * time.Millisecond
+)
+
+// server is a stand-in of a backend server, which announces itself to the daemon of its machine.
+type server struct {
+	machine  *machine
+	id       string
+	address  string
+	born     int64
+	listener net.Listener
+	http     *http.Server
+	stop     context.CancelFunc
+
+	mu    sync.Mutex
+	seq   int
+	acked bool
+	// fails returns the status of a request that the backend server runs and fails, or 0 if it
+	// serves the request.
+	fails func() int
+	// ran counts how often each request began to run, and orders how often each body was run.
+	ran, orders map[string]int
+}
+
+func openServer(m *machine, address string) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &server{
+		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{},
+	}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.http.Serve(listener) }()
+	go s.beat(ctx)
+	return s, nil
+}
+
+func (s *server) close() {
+	s.stop()
+	_ = s.http.Close()
+}
+
+// setFails sets how the backend server fails requests.
+func (s *server) setFails(fails func() int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fails = fails
+}
+
+func (s *server) acknowledged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.acked
+}
+
+// timesRun returns how often the request with the id began to run here.
+func (s *server) timesRun(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ran[id]
+}
+
+// timesOrdered returns how often a request with the body began to run here.
+func (s *server) timesOrdered(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.orders[body]
+}
+
+// beat sends heartbeats until the context ends.
+func (s *server) beat(ctx context.Context) {
+	for {
+		if s.announce(ctx) {
+			s.mu.Lock()
+			s.acked = true
+			s.mu.Unlock()
+		}
+		pause := heartbeatPause
+		if !s.acknowledged() {
+			pause = pollPause
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announce sends one heartbeat and reports whether it was acknowledged.
+func (s *server) announce(ctx context.Context) bool {
+	s.mu.Lock()
+	s.seq++
+	seq := s.seq
+	s.mu.Unlock()
+	raw, err := json.Marshal(map[string]any{
+		"address": s.address, "born": s.born,
+		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": zone, "slots": slots},
+		"status": map[string]any{"state": "ready", "seq": seq, "coldRemaining": "0ms"},
+	})
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	url := "http://" + s.machine.control + "/rpc?call=instances.heartbeat&of=" + s.id
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode/100 == 2
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", s.id)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	if want := r.Header.Get("Target-Instance"); want != "" && want != s.id {
+		w.Header().Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.ran[id]++
+	s.orders[string(body)]++
+	status := http.StatusOK
+	if s.fails != nil {
+		if failure := s.fails(); failure != 0 {
+			status = failure
+		}
+	}
+	s.mu.Unlock()
+	s.machine.stage.record.note("%s runs %s, answers %d", s.id, id, status)
+	time.Sleep(workTime)
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Signature", "sig-"+id)
+	if n, err := strconv.Atoi(r.URL.RawQuery); err == nil {
+		// The query is the length of the answer.
+		w.Header().Set("Content-Length", strconv.Itoa(n))
+		w.WriteHeader(status)
+		_, _ = w.Write(make([]byte, n))
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "answer to %s", id)
+}
