Review: a case for a target that leaves after an odd heartbeat

Another writer sends one heartbeat of a target, with fields missing and a number too large. Right after it the target says that it leaves. Its daemon acknowledges that and goes on to use it.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]play{
 	"refused": playRefused,
 	"lost":    playLost,
+	"drain":   playDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -35,6 +35,14 @@
 	mu    sync.Mutex
 	seq   int
 	acked bool
+	// state is that of the heartbeats, and leaveAckedAt is when the first one with draining was
+	// acknowledged.
+	state        string
+	leaveAckedAt time.Time
+	// wake makes the next heartbeat come at once.
+	wake chan struct{}
+	// runTimes holds when requests began to run.
+	runTimes []time.Time
 	// fails returns the status of a request that the backend server runs and fails, or 0 if it
 	// serves the request.
 	fails func() int
@@ -49,11 +57,12 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &server{
-		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{},
+		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{}, state: "ready",
+		wake: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.http.Serve(listener) }()
-	go s.beat(ctx)
+	go s.beatLoop(ctx)
 	return s, nil
 }
 
@@ -89,13 +98,50 @@
 	return s.orders[body]
 }
 
-// beat sends heartbeats until the context ends.
-func (s *server) beat(ctx context.Context) {
+// leave makes the backend server report from now on that it is leaving.
+func (s *server) leave() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.machine.stage.record.note("%s leaves", s.id)
+	s.wake <- struct{}{}
+}
+
+// awaitLeaveAcknowledged waits until it is acknowledged that the backend server leaves.
+func (s *server) awaitLeaveAcknowledged(most time.Duration) (time.Time, bool) {
+	for until := time.Now().Add(most); time.Now().Before(until); time.Sleep(pollPause) {
+		s.mu.Lock()
+		at := s.leaveAckedAt
+		s.mu.Unlock()
+		if !at.IsZero() {
+			return at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// runsSince returns how many requests began to run after an instant.
+func (s *server) runsSince(from time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.runTimes {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// beatLoop sends heartbeats until the context ends.
+func (s *server) beatLoop(ctx context.Context) {
 	for {
-		if s.announce(ctx) {
-			s.mu.Lock()
-			s.acked = true
-			s.mu.Unlock()
+		s.mu.Lock()
+		s.seq++
+		b := beat{seq: s.seq, state: s.state}
+		s.mu.Unlock()
+		if s.announce(b) {
+			s.markAcknowledged(b)
 		}
 		pause := heartbeatPause
 		if !s.acknowledged() {
@@ -103,27 +149,45 @@
 		}
 		select {
 		case <-time.After(pause):
+		case <-s.wake:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// announce sends one heartbeat and reports whether it was acknowledged.
-func (s *server) announce(ctx context.Context) bool {
+func (s *server) markAcknowledged(b beat) {
 	s.mu.Lock()
-	s.seq++
-	seq := s.seq
-	s.mu.Unlock()
-	raw, err := json.Marshal(map[string]any{
-		"address": s.address, "born": s.born,
-		"info":   map[string]any{"service": s.machine.service, "version": "v1", "zone": zone, "slots": slots},
-		"status": map[string]any{"state": "ready", "seq": seq, "coldRemaining": "0ms"},
-	})
+	defer s.mu.Unlock()
+	s.acked = true
+	if b.state != "draining" {
+		return
+	}
+	s.machine.stage.record.note("%s: heartbeat %d, draining, is acknowledged", s.id, b.seq)
+	if s.leaveAckedAt.IsZero() {
+		s.leaveAckedAt = time.Now()
+	}
+}
+
+// beat is a heartbeat. An odd one lacks some fields.
+type beat struct {
+	seq   int
+	state string
+	odd   bool
+}
+
+// announce sends one heartbeat and reports whether it was acknowledged.
+func (s *server) announce(b beat) bool {
+	info := map[string]any{"service": s.machine.service, "slots": slots}
+	status := map[string]any{"state": b.state, "seq": b.seq}
+	if !b.odd {
+		info["version"], info["zone"], status["coldRemaining"] = "v1", zone, "0ms"
+	}
+	raw, err := json.Marshal(map[string]any{"address": s.address, "born": s.born, "info": info, "status": status})
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	url := "http://" + s.machine.control + "/rpc?call=instances.heartbeat&of=" + s.id
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
@@ -158,6 +222,7 @@
 	s.mu.Lock()
 	s.ran[id]++
 	s.orders[string(body)]++
+	s.runTimes = append(s.runTimes, time.Now())
 	status := http.StatusOK
 	if s.fails != nil {
 		if failure := s.fails(); failure != 0 {
