Review: a case for a target that left while the store was down

A target deregisters while the store is down, its daemon is stopped and started again, and a heartbeat that the target had sent before arrives late. The new daemon uses the target again.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -26,9 +26,10 @@
 type play func(s *stage, trouble bool) (bool, error)
 
 var cases = map[string]play{
-	"refused": playRefused,
-	"lost":    playLost,
-	"drain":   playDrain,
+	"refused":   playRefused,
+	"lost":      playLost,
+	"drain":     playDrain,
+	"forgotten": playForgotten,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -98,6 +98,21 @@
 	return s.orders[body]
 }
 
+// stopBeating stops the heartbeats and returns the next one, which is not sent.
+func (s *server) stopBeating() beat {
+	s.stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seq++
+	return beat{seq: s.seq, state: s.state}
+}
+
+// deregister announces the end of the backend server and reports whether that was acknowledged.
+func (s *server) deregister() bool {
+	raw, err := json.Marshal(map[string]any{"born": s.born})
+	return err == nil && s.post("instances.deregister", raw)
+}
+
 // leave makes the backend server report from now on that it is leaving.
 func (s *server) leave() {
 	s.mu.Lock()
@@ -187,9 +202,14 @@
 	if err != nil {
 		return false
 	}
+	return s.post("instances.heartbeat", raw)
+}
+
+// post makes a call to the daemon and reports whether it was acknowledged.
+func (s *server) post(call string, raw []byte) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
-	url := "http://" + s.machine.control + "/rpc?call=instances.heartbeat&of=" + s.id
+	url := "http://" + s.machine.control + "/rpc?call=" + call + "&of=" + s.id
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
 	if err != nil {
 		return false
