Review: a case for a target that left before two restarts

A target deregisters, its daemon is killed twice, and a heartbeat that the target had sent before arrives late. The daemon uses the target again, since the second process has overwritten what the first one stored.

--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -26,10 +26,11 @@
 type play func(s *stage, trouble bool) (bool, error)
 
 var cases = map[string]play{
-	"refused":   playRefused,
-	"lost":      playLost,
-	"drain":     playDrain,
-	"forgotten": playForgotten,
+	"refused":     playRefused,
+	"lost":        playLost,
+	"drain":       playDrain,
+	"forgotten":   playForgotten,
+	"overwritten": playOverwritten,
 }
 
 func main() { os.Exit(run()) }
