--- a/review/stage2/caller.go
+++ b/review/stage2/caller.go
@@ -37,6 +37,7 @@
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Timeout-Ms", strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	req.Header.Set("Credential", key)
+	m.stage.sent.Store(id, time.Now())
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		m.stage.record.note("caller at %s: %s %s %s, no answer: %v", m.name, id, method, path, err)
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -27,9 +27,9 @@
 
 var cases = map[string]play{
 	"refused":     playRefused,
+	"quota":       playQuota,
 	"lost":        playLost,
 	"drain":       playDrain,
-	"forgotten":   playForgotten,
 	"overwritten": playOverwritten,
 }
 
--- a/review/stage2/overwritten.go
+++ b/review/stage2/overwritten.go
@@ -7,8 +7,16 @@
 	"time"
 )
 
-// killPause is the time from the start of a daemon until it is killed again.
-const killPause = 2500 * time.Millisecond
+const (
+	// killPause is the time from the start of a daemon until it is killed again, and restartDelay how
+	// long the platform takes to start it.
+	killPause    = 2500 * time.Millisecond
+	restartDelay = 200 * time.Millisecond
+	// stableWindow is for how long a process must have run until the bound holds.
+	stableWindow = 3 * time.Second
+	// serveTime is for how long the target serves after it has deregistered.
+	serveTime = 14 * time.Second
+)
 
 // playOverwritten lets a backend server leave by deregistering, kills its daemon twice, and delivers
 // a heartbeat late. It checks that no request reaches the backend server then.
--- /dev/null
+++ b/review/stage2/quota.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"balsamwharf.example/balsamwharf/internal/ids"
+	"balsamwharf.example/balsamwharf/internal/rendezvous"
+)
+
+const (
+	quotaMachines = 8
+	quotaWindow   = 5 * time.Second
+	quotaOverrun  = 0.1
+	quotaSlack    = 20
+	// accountRate and accountBurst are the limits of the account.
+	accountRate, accountBurst = 100, 20
+	// quotaTime is how long callers press, several times their account's limit.
+	quotaTime    = 40 * time.Second
+	quotaCallers = 4
+	quotaPause   = 20 * time.Millisecond
+	// lostDaemons is how many daemons are lost at a time, for how long and after which pause.
+	lostDaemons = 2
+	lostTime    = 3400 * time.Millisecond
+	lostPause   = 4 * time.Second
+)
+
+// playQuota lets the two daemons that come first as leaders of the account be lost for a while, several
+// times, and checks the account's limit.
+func playQuota(s *stage, trouble bool) (bool, error) {
+	s.rate, s.burst = accountRate, accountBurst
+	reads := route{prefix: "/quotes/", kind: "safe", service: "quotes", timeout: 3 * time.Second, aim: 800 * time.Millisecond}
+	if err := s.configure([]route{reads}); err != nil {
+		return false, err
+	}
+	for range quotaMachines {
+		if _, err := s.add(reads.service); err != nil {
+			return false, err
+		}
+	}
+	if err := s.awaitReady(); err != nil {
+		return false, err
+	}
+	var callers sync.WaitGroup
+	until := time.Now().Add(quotaTime)
+	for _, m := range s.machines {
+		for range quotaCallers {
+			callers.Go(func() {
+				for time.Now().Before(until) {
+					m.call(http.MethodGet, reads.prefix+"status", "")
+					time.Sleep(quotaPause)
+				}
+			})
+		}
+	}
+	for trouble && time.Until(until) > lostPause+lostTime {
+		time.Sleep(lostPause)
+		if err := s.lose(s.ranked(account)[:lostDaemons]); err != nil {
+			return false, err
+		}
+	}
+	callers.Wait()
+	worst, most := s.worstWindow(), (s.rate*quotaWindow.Seconds()+s.burst)*(1+quotaOverrun)+quotaSlack
+	s.record.note("QUOTA: %d requests ran within %s, %.0f are allowed", worst, quotaWindow, most)
+	return float64(worst) > most, nil
+}
+
+// lose kills daemons at the same moment and starts them again after lostTime.
+func (s *stage) lose(list []*machine) error {
+	for _, m := range list {
+		m.signal(syscall.SIGKILL)
+		s.record.note("%s is lost", m.name)
+	}
+	for _, m := range list {
+		m.awaitEnd()
+	}
+	time.Sleep(lostTime)
+	for _, m := range list {
+		if err := m.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ranked returns the machines in the order in which they lead the account.
+func (s *stage) ranked(name string) []*machine {
+	byPeer := map[ids.Daemon]*machine{}
+	var peers []ids.Daemon
+	for _, m := range s.machines {
+		byPeer[ids.Daemon(m.peers)] = m
+		peers = append(peers, ids.Daemon(m.peers))
+	}
+	var list []*machine
+	for _, p := range rendezvous.Top(name, peers, len(peers)) {
+		list = append(list, byPeer[p])
+	}
+	return list
+}
+
+// span is when a request was sent and when it began to run.
+type span struct{ sent, ran time.Time }
+
+// worstWindow returns the most requests that were both sent and began to run in one window.
+func (s *stage) worstWindow() int {
+	var all []span
+	for _, m := range s.machines {
+		for id, ran := range m.server.firstRuns() {
+			if sent, ok := s.sent.Load(id); ok {
+				all = append(all, span{sent: sent.(time.Time), ran: ran})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b span) int { return a.sent.Compare(b.sent) })
+	worst := 0
+	for i, first := range all {
+		n := 0
+		for _, x := range all[i:] {
+			if x.sent.Sub(first.sent) > quotaWindow {
+				break
+			}
+			if x.ran.Sub(first.sent) <= quotaWindow {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	return worst
+}
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,8 +42,9 @@
 	leaveAckedAt time.Time
 	// wake makes the next heartbeat come at once.
 	wake chan struct{}
-	// runTimes holds when requests began to run.
+	// runTimes holds when requests began to run, and firstRun when each began to run first.
 	runTimes []time.Time
+	firstRun map[string]time.Time
 	// fails returns the status of a request that the backend server runs and fails, or 0 if it
 	// serves the request.
 	fails func() int
@@ -57,7 +59,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &server{
-		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{}, state: "ready",
+		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{}, firstRun: map[string]time.Time{}, state: "ready",
 		wake: make(chan struct{}, 1),
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
@@ -148,6 +150,13 @@
 	return n
 }
 
+// firstRuns returns when each request began to run here first.
+func (s *server) firstRuns() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.firstRun)
+}
+
 // beatLoop sends heartbeats until the context ends.
 func (s *server) beatLoop(ctx context.Context) {
 	for {
@@ -243,6 +252,9 @@
 	s.ran[id]++
 	s.orders[string(body)]++
 	s.runTimes = append(s.runTimes, time.Now())
+	if _, again := s.firstRun[id]; !again {
+		s.firstRun[id] = time.Now()
+	}
 	status := http.StatusOK
 	if s.fails != nil {
 		if failure := s.fails(); failure != 0 {
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,6 +47,10 @@
 	store                  *standin.Store
 	machines               []*machine
 	version                int
+	// rate and burst are the limits of the account; zero means none.
+	rate, burst float64
+	// sent holds when each request was sent.
+	sent sync.Map
 	// deposits counts the deposits that callers sent.
 	deposits atomic.Int64
 }
@@ -59,6 +64,7 @@
 	callers string
 	control string
 	ready   string
+	peers   string
 	server  *server
 	process *exec.Cmd
 	ended   chan struct{}
@@ -119,7 +125,7 @@
 	raw, err := json.Marshal(map[string]any{
 		"version": fmt.Sprintf("%08x", s.version), "routes": list, "services": named,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"tenants": []any{map[string]any{"name": account, "apiKeys": []string{key}, "priority": 1, "ratePerS": 0, "burstSize": 0}},
+		"tenants": []any{map[string]any{"name": account, "apiKeys": []string{key}, "priority": 1, "ratePerS": s.rate, "burstSize": s.burst}},
 	})
 	if err != nil {
 		return err
@@ -142,7 +148,7 @@
 		}
 		addresses[i] = string(a)
 	}
-	m.callers, m.control, m.ready = addresses[0], addresses[1], addresses[2]
+	m.callers, m.control, m.ready, m.peers = addresses[0], addresses[1], addresses[2], addresses[3]
 	ip, port, err := net.SplitHostPort(addresses[3])
 	if err != nil {
 		return nil, err
