--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -52,6 +52,7 @@
 		return failed
 	}
 	defer s.close()
+	go s.endOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.record.note("case %s, disruption %t", *name, trouble)
 	ruleBroken, err := p(s, trouble)
--- a/review/stage2/quota.go
+++ b/review/stage2/quota.go
@@ -19,7 +19,7 @@
 	// accountRate and accountBurst are the limits of the account.
 	accountRate, accountBurst = 100, 20
 	// quotaTime is how long callers press, several times their account's limit.
-	quotaTime    = 40 * time.Second
+	quotaTime    = 70 * time.Second
 	quotaCallers = 4
 	quotaPause   = 20 * time.Millisecond
 	// lostDaemons is how many daemons are lost at a time, for how long and after which pause.
--- a/review/stage2/stage.go
+++ b/review/stage2/stage.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -107,6 +108,18 @@
 	_ = os.RemoveAll(s.dir)
 }
 
+// endOnSignal kills all daemons and ends the program when it is told to stop.
+func (s *stage) endOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM)
+	<-told
+	for _, m := range s.machines {
+		m.signal(syscall.SIGKILL)
+	}
+	_ = os.RemoveAll(s.dir)
+	os.Exit(failed)
+}
+
 // configure writes a configuration to the store as an operator does.
 func (s *stage) configure(routes []route) error {
 	s.version++
