--- a/review/stage2/caller.go
+++ b/review/stage2/caller.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -20,7 +21,6 @@
 type answer struct {
 	id         string
 	status     int
-	body       string
 	retryAfter time.Duration
 }
 
@@ -44,12 +44,43 @@
 		return answer{id: id}
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		m.stage.record.note("caller at %s: %s %s %s, the answer broke off: %v", m.name, id, method, path, err)
 		return answer{id: id}
 	}
 	m.stage.record.note("caller at %s: %s %s %s, answered %d", m.name, id, method, path, resp.StatusCode)
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	return answer{id: id, status: resp.StatusCode, body: string(raw), retryAfter: time.Duration(seconds * float64(time.Second))}
+	return answer{id: id, status: resp.StatusCode, retryAfter: time.Duration(seconds * float64(time.Second))}
+}
+
+// chargePause is the pause of one caller between two deposits.
+const chargePause = 60 * time.Millisecond
+
+// isPromise reports whether a status says that the request has not run.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// charge sends deposits from one caller at each machine for a time. As the platform's pages say of
+// callers, a deposit is sent once more after a promise that it did not run.
+func (s *stage) charge(path string, during time.Duration) {
+	var callers sync.WaitGroup
+	until := time.Now().Add(during)
+	for _, m := range s.machines {
+		callers.Go(func() {
+			for time.Now().Before(until) {
+				body := fmt.Sprintf("deposit %d", s.deposits.Add(1))
+				if a := m.call(http.MethodPost, path, body); isPromise(a.status) {
+					time.Sleep(a.retryAfter)
+					m.call(http.MethodPost, path, body)
+				}
+				time.Sleep(chargePause)
+			}
+		})
+	}
+	callers.Wait()
 }
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	stage2 --case refused --daemon target/balsammesh --template deploy/balsammesh.ini --record record.txt
+//	stage2 --case memory --daemon target/balsammesh --template deploy/balsammesh.ini --record record.txt
 //
 // It exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run. With
 // TROUBLE=0 in the environment it leaves out the disruption.
@@ -26,7 +26,7 @@
 type play func(s *stage, trouble bool) (bool, error)
 
 var cases = map[string]play{
-	"refused":     playRefused,
+	"memory":      playMemory,
 	"quota":       playQuota,
 	"lost":        playLost,
 	"drain":       playDrain,
--- a/review/stage2/server.go
+++ b/review/stage2/server.go
@@ -19,8 +19,10 @@
 	heartbeatTimeout = time.Second
 	// slots is how many requests a backend server runs at once.
 	slots = 4
-	// workTime is how long a request takes.
+	// workTime is how long a request takes, unless a case sets another time.
 	workTime = 40 * time.Millisecond
+	// keepAliveTime is after how long a backend server closes an idle connection.
+	keepAliveTime = 5 * time.Second
 )
 
 // server is a stand-in of a backend server, which announces itself to the daemon of its machine.
@@ -45,11 +47,10 @@
 	// runTimes holds when requests began to run, and firstRun when each began to run first.
 	runTimes []time.Time
 	firstRun map[string]time.Time
-	// fails returns the status of a request that the backend server runs and fails, or 0 if it
-	// serves the request.
-	fails func() int
-	// ran counts how often each request began to run, and orders how often each body was run.
-	ran, orders map[string]int
+	// ran counts how often each request began to run.
+	ran map[string]int
+	// work is how long a request takes.
+	work time.Duration
 }
 
 func openServer(m *machine, address string) (*server, error) {
@@ -59,10 +60,10 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	s := &server{
-		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, orders: map[string]int{}, firstRun: map[string]time.Time{}, state: "ready",
+		machine: m, id: "i-" + m.name, address: address, born: time.Now().UnixMilli(), listener: listener, stop: stop, ran: map[string]int{}, work: workTime, firstRun: map[string]time.Time{}, state: "ready",
 		wake: make(chan struct{}, 1),
 	}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute, IdleTimeout: keepAliveTime}
 	go func() { _ = s.http.Serve(listener) }()
 	go s.beatLoop(ctx)
 	return s, nil
@@ -73,11 +74,11 @@
 	_ = s.http.Close()
 }
 
-// setFails sets how the backend server fails requests.
-func (s *server) setFails(fails func() int) {
+// setWork sets how long a request takes.
+func (s *server) setWork(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fails = fails
+	s.work = d
 }
 
 func (s *server) acknowledged() bool {
@@ -93,13 +94,6 @@
 	return s.ran[id]
 }
 
-// timesOrdered returns how often a request with the body began to run here.
-func (s *server) timesOrdered(body string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.orders[body]
-}
-
 // stopBeating stops the heartbeats and returns the next one, which is not sent.
 func (s *server) stopBeating() beat {
 	s.stop()
@@ -244,35 +238,26 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	s.mu.Lock()
 	s.ran[id]++
-	s.orders[string(body)]++
 	s.runTimes = append(s.runTimes, time.Now())
 	if _, again := s.firstRun[id]; !again {
 		s.firstRun[id] = time.Now()
 	}
-	status := http.StatusOK
-	if s.fails != nil {
-		if failure := s.fails(); failure != 0 {
-			status = failure
-		}
-	}
+	work := s.work
 	s.mu.Unlock()
-	s.machine.stage.record.note("%s runs %s, answers %d", s.id, id, status)
-	time.Sleep(workTime)
+	s.machine.stage.record.note("%s runs %s", s.id, id)
+	time.Sleep(work)
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Signature", "sig-"+id)
 	if n, err := strconv.Atoi(r.URL.RawQuery); err == nil {
 		// The query is the length of the answer.
 		w.Header().Set("Content-Length", strconv.Itoa(n))
-		w.WriteHeader(status)
 		_, _ = w.Write(make([]byte, n))
 		return
 	}
-	w.WriteHeader(status)
 	_, _ = fmt.Fprintf(w, "answer to %s", id)
 }
