--- a/review/stage2/memory.go
+++ b/review/stage2/memory.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -186,7 +187,10 @@
 		}
 		if err != nil {
 			m.stage.record.note("client at %s: %s, request %d of its connection, has no answer: %v", m.name, id, answered+1, err)
-			if answered > 0 {
+			// A client that gave up has not had its connection closed.
+			var timeout net.Error
+			gaveUp := errors.As(err, &timeout) && timeout.Timeout()
+			if answered > 0 && !gaveUp {
 				lost.mu.Lock()
 				lost.ids = append(lost.ids, id)
 				lost.mu.Unlock()
