head: an answer with a malformed field name is no answer

Callers got an answer in whose head the name of a field held a blank. Its line was left out and the rest passed on; where it said how long the body is, as in "Content-Length : 2" or "Transfer-Encoding : chunked", callers got another body than the backend server had sent.

Cause: net/http's parser keeps such a field under a name that nobody asks for, and joins a line that begins with a blank to the line before, so " Transfer-Encoding: chunked" was not seen either. The same holds for interim answers, for trailers and for the answers of the store, whose era was then read as 0.

Change: head.Checker checks the lines of a head before net/http parses it. A name must be a token of RFC 9110, so a folded line is refused too, for which RFC 9112 allows a 502. backend.Conn, which reads all answers of backend servers and their health checks, checks the head in its buffer, and the trailer when the body ends.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -151,9 +151,9 @@
 // that Match rejects.
 func (c *Conn) readAnswer(req *http.Request) (*http.Response, error) {
 	for skipped := 0; skipped <= maxSkipped; {
-		answer, err := http.ReadResponse(c.reader, req)
+		answer, err := c.readHead(req)
 		if err != nil {
-			return nil, errorx.Decorate(err, "read answer")
+			return nil, err
 		}
 		switch kindOf(answer.StatusCode) {
 		case interim:
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -48,6 +48,10 @@
 		{name: "status 099", answer: "HTTP/1.1 099 Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", bad: true},
 		{name: "status 600", answer: "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok", bad: true},
 		{name: "status 999", answer: "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\nok", bad: true},
+		{name: "blank before a colon", answer: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", bad: true},
+		{name: "blank before a name", answer: "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok", bad: true},
+		{name: "blank in a name of an interim answer", answer: "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", bad: true},
+		{name: "long header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 50_000) + "\r\nContent-Length: 2\r\n\r\nok", read: true, reuse: true},
 		{name: "endless header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 2<<20), bad: true},
 		{name: "endless interim answers", answer: strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: "+strings.Repeat("x", 1000)+"\r\n\r\n", 2000), bad: true},
 	}
@@ -91,12 +95,14 @@
 	_, _ = io.Copy(io.Discard, c)
 }
 
-// A truncated answer is an error with a Content-Length as well as with chunks.
+// A truncated answer is an error with a Content-Length as well as with chunks, and so is a
+// malformed trailer.
 func TestCutAnswers(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nA b: c\r\n\r\n",
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			near, far := net.Pipe()
--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -126,6 +126,12 @@
 		{name: "garbage", answer: "garbage\r\n\r\n", status: 502, verdict: "maybe"},
 		{name: "two lengths", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", status: 502, verdict: "maybe"},
 		{name: "endless header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 2<<20), status: 502, verdict: "maybe"},
+		{name: "status 000", answer: "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok", status: 502, verdict: "maybe"},
+		{name: "cut within the header", answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n", status: 502, verdict: "maybe"},
+		{name: "blank in a name", answer: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more", status: 502, verdict: "maybe"},
+		{name: "blank before a name", answer: "HTTP/1.1 200 OK\r\nA: b\r\n Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", status: 502, verdict: "maybe"},
+		{name: "control byte in a name", answer: "HTTP/1.1 200 OK\r\nA\x01b: c\r\nContent-Length: 2\r\n\r\nok", status: 502, verdict: "maybe"},
+		{name: "blank in a name of a trailer", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA b: c\r\n\r\n", status: 200, verdict: "ran", body: "ok", cut: true},
 		{name: "nothing", answer: "", status: 502, verdict: "maybe"},
 		{name: "switch", answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", status: 502, verdict: "maybe"},
 	}
--- /dev/null
+++ b/internal/head/head.go
@@ -0,0 +1,53 @@
+// Package head checks the head of an HTTP/1 answer before net/http parses it.
+//
+// # Usage
+//
+//	var c head.Checker
+//	end, err := c.Line([]byte("HTTP/1.1 200 OK"))
+//	end, err = c.Line([]byte("Content-Length: 2"))
+//	end, err = c.Line(nil) // end is true
+//
+// The parser of net/http keeps a field whose name holds a blank under that name, and joins a
+// line that begins with a blank to the one before. Either way it does not see a field that
+// says where the body ends, and the answer gets another body than was sent.
+package head
+
+import (
+	"bytes"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Checker checks the lines of one head in order. Its zero value expects the status line.
+type Checker struct {
+	// fields is set after the status line.
+	fields bool
+}
+
+// Line checks the next line, which is given without its line break. It reports whether the
+// line ends the head.
+func (c *Checker) Line(line []byte) (end bool, err error) {
+	if !c.fields {
+		c.fields = true
+		return false, nil
+	}
+	if len(line) == 0 {
+		return true, nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if !httpguts.ValidHeaderFieldName(string(name)) {
+		return false, errorx.IllegalFormat.New("the name of the field %.100q is not valid", line)
+	}
+	return false, nil
+}
+
+// ValidNames reports whether the names of all fields are valid.
+func ValidNames(fields map[string][]string) bool {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
