head: an HTTP/1.0 answer with a transfer coding is no answer

Callers got the chunks of such an answer, with their lengths, as its body.

Cause: HTTP/1.0 has no transfer codings, so net/http's parser drops the field, and the body reaches to the end of the connection or of the Content-Length beside it. RFC 9112, 6.1, calls the framing of such a message faulty.

Change: head.Checker remembers the version in the status line and refuses the field.

HTTP/1.0 answers without a coding arrive as before: TestUnusualHeads, TestReuse.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -51,6 +51,8 @@
 		{name: "blank before a colon", answer: "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok", bad: true},
 		{name: "blank before a name", answer: "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok", bad: true},
 		{name: "blank in a name of an interim answer", answer: "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", bad: true},
+		{name: "HTTP/1.0", answer: "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok", read: true, reuse: true},
+		{name: "HTTP/1.0 with chunks", answer: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", bad: true},
 		{name: "long header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 50_000) + "\r\nContent-Length: 2\r\n\r\nok", read: true, reuse: true},
 		{name: "endless header", answer: "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 2<<20), bad: true},
 		{name: "endless interim answers", answer: strings.Repeat("HTTP/1.1 103 Early Hints\r\nA: "+strings.Repeat("x", 1000)+"\r\n\r\n", 2000), bad: true},
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -9,11 +9,13 @@
 //
 // The parser of net/http keeps a field whose name holds a blank under that name, and joins a
 // line that begins with a blank to the one before. Either way it does not see a field that
-// says where the body ends, and the answer gets another body than was sent.
+// says where the body ends, and the answer gets another body than was sent. It also ignores
+// the transfer coding of an HTTP/1.0 answer.
 package head
 
 import (
 	"bytes"
+	"strings"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/net/http/httpguts"
@@ -23,6 +25,8 @@
 type Checker struct {
 	// fields is set after the status line.
 	fields bool
+	// noCoding is set if the version of the answer has no transfer codings.
+	noCoding bool
 }
 
 // Line checks the next line, which is given without its line break. It reports whether the
@@ -30,6 +34,7 @@
 func (c *Checker) Line(line []byte) (end bool, err error) {
 	if !c.fields {
 		c.fields = true
+		c.noCoding = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		return false, nil
 	}
 	if len(line) == 0 {
@@ -39,6 +44,9 @@
 	if !httpguts.ValidHeaderFieldName(string(name)) {
 		return false, errorx.IllegalFormat.New("the name of the field %.100q is not valid", line)
 	}
+	if c.noCoding && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return false, errorx.IllegalFormat.New("an HTTP/1.0 answer has the transfer coding %.100q", line)
+	}
 	return false, nil
 }
 
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -45,6 +45,9 @@
 		{"control byte in a name", status + "A\x01: b\r\n\r\n", 1, false},
 		{"name that is not ASCII", status + "\xe9: b\r\n\r\n", 1, false},
 		{"no name", status + ": b\r\n\r\n", 1, false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nA: b\r\n\r\n", 3, true},
+		{"coding of HTTP/1.1", status + "Transfer-Encoding: chunked\r\n\r\n", 3, true},
+		{"coding of HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 1, false},
 		{"no colon", status + "A b\r\n\r\n", 1, false},
 	}
 	for _, c := range cases {
