head: an answer of another version than HTTP/1 is no answer

Callers got answers whose status line named HTTP/0.9, HTTP/2.0 or HTTP/9.9, read as if they were HTTP/1.1.

Cause: net/http's parser takes any version for a status line, and nothing else looked at it. How such a message is framed is not known.

Change: head.Checker wants a status line of HTTP/1. A later minor version counts as HTTP/1.1, as RFC 9110, 2.5, has it. Bytes that are no status line end the exchange at their first line.

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -33,6 +33,9 @@
 // line ends the head.
 func (c *Checker) Line(line []byte) (end bool, err error) {
 	if !c.fields {
+		if !bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			return false, errorx.IllegalFormat.New("%.100q is no status line of HTTP/1", line)
+		}
 		c.fields = true
 		c.noCoding = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		return false, nil
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -48,6 +48,12 @@
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nA: b\r\n\r\n", 3, true},
 		{"coding of HTTP/1.1", status + "Transfer-Encoding: chunked\r\n\r\n", 3, true},
 		{"coding of HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", 1, false},
+		{"later minor version", "HTTP/1.2 200 OK\r\n\r\n", 2, true},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n\r\n", 0, false},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n\r\n", 0, false},
+		{"HTTP/9.9", "HTTP/9.9 200 OK\r\n\r\n", 0, false},
+		{"no version", "200 OK\r\n\r\n", 0, false},
+		{"blank line first", "\r\n" + status + "\r\n", 0, false},
 		{"no colon", status + "A b\r\n\r\n", 1, false},
 	}
 	for _, c := range cases {
