Tests for answers whose head breaks off

Reported by others: a backend server stopped within the head of its answer and closed, and clients got a 200 with an empty or short body. A head is accepted only with the blank line that ends it.

--- a/internal/backend/head_test.go
+++ b/internal/backend/head_test.go
@@ -41,3 +41,23 @@
 		_ = far.Close()
 	}
 }
+
+// A connection that ends before the end of a head is an error, wherever the head breaks off.
+func TestHeadsThatBreakOff(t *testing.T) {
+	const first = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+	for _, whole := range []string{"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 200 OK\n\n", first + "HTTP/1.1 204 No Content\r\n\r\n"} {
+		for n := range len(whole) {
+			near, far := net.Pipe()
+			conn := backend.New(near)
+			go func() {
+				_, _ = far.Read(make([]byte, 4096))
+				_, _ = io.WriteString(far, whole[:n])
+				_ = far.Close()
+			}()
+			_, sent, err := conn.Exchange(t.Context(), request("GET", ""))
+			must.True(t, sent)
+			must.Error(t, err, must.Sprintf("%q was taken for a whole head", whole[:n]))
+			must.False(t, conn.Reusable())
+		}
+	}
+}
