ingress: a cut answer to an HTTP/1.0 caller ends with a reset

Seen while the other ways of reading an answer were tried, in the daemon without a platform: a backend server's answer in chunks broke off, and a caller of HTTP/1.0 got a 200 with the first half as a complete answer.

Cause: such a caller gets no chunks, so an answer without a length ends with its connection. The handler was aborted, but net/http closes the connection in order, as after a whole answer.

Change: for callers before HTTP/1.1 the connection is reset, below TLS if there is any, since closing that would end its stream in order as well.

Whole answers arrive, with a length, with chunks and without either.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -152,7 +152,7 @@
 	defer body.interruptRead(w)
 	if err := writeAnswer(w, answer); err != nil {
 		i.Common.Debug(event.AnswerTruncated, zap.Error(err))
-		panic(http.ErrAbortHandler)
+		abort(w, r)
 	}
 }
 
