--- a/internal/ingress/abort.go
+++ b/internal/ingress/abort.go
@@ -15,15 +15,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-// resetConn resets the connection of a request. An HTTP/1.0 answer without a length ends with
-// its connection, so the caller would take a truncated one that is closed for complete.
+// resetConn resets the connection of a request. An HTTP/1.0 answer without a length ends when
+// its connection is closed, so closing it normally would make a truncated one look complete.
 func resetConn(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	if encrypted, ok := conn.(*tls.Conn); ok {
-		// Closing it would tell the caller that the stream is complete.
+		// Closing the TLS connection would tell the caller that the stream is complete.
 		conn = encrypted.NetConn()
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/internal/reset/reset.go
+++ b/internal/reset/reset.go
@@ -7,8 +7,8 @@
 //	answer, err := io.ReadAll(conn) // err is not nil if the connection was reset
 //
 // The kernel reports a reset once, to the first call that asks. If that is a write, reads
-// return io.EOF afterwards, as if the peer had ended its stream in order. A message that
-// ends with its connection would then look complete.
+// return io.EOF afterwards, as if the peer had closed the connection normally. A message
+// that ends with its connection would then look complete.
 package reset
 
 import (
@@ -41,8 +41,9 @@
 	return n, err
 }
 
-// isSocketFailure reports whether a write returned the failure of the socket itself. EPIPE
-// only says that there was one, or that the reset followed the end of the peer's stream.
+// isSocketFailure reports whether a write returned the failure of the socket. EPIPE doesn't
+// count: a read has returned the failure before, or the reset came after the end of the
+// peer's stream.
 func isSocketFailure(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && errno != syscall.EPIPE
@@ -54,7 +55,7 @@
 	if !errors.Is(err, io.EOF) || c.connected() {
 		return n, err
 	}
-	// Without a peer, a write that is in progress fails at once.
+	// A write in progress on a socket that is not connected fails at once.
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.failure != nil {
@@ -63,8 +64,8 @@
 	return n, err
 }
 
-// connected reports whether the connection has a peer. It keeps its peer when the peer
-// ends its stream, and loses it with a reset.
+// connected reports whether the socket is connected. It still is when the peer has ended
+// its stream, but not after a reset.
 func (c *Conn) connected() bool {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
